core: declare the decision core's types and classes

Cause: work on the core, the transports and the programs can only go on side by side if events, actions and class interfaces are fixed first. Conclusion: modules can be written against these headers.

--- /dev/null
+++ b/src/core/control_state.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "core/messages.hpp"
+#include "core/records.hpp"
+#include "core/types.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gooseberryfall::core {
+
+/// What applying a group changed.
+struct control_changes {
+    bool config = false;
+    bool members = false;
+    bool leases = false;
+    /// Records that had no effect.
+    std::uint32_t ignored = 0;
+
+    bool any() const { return config || members || leases; }
+};
+
+/// State that results from replaying the control stream. Deterministic: the same groups give the
+/// same state on every instance. Not thread-safe.
+class control_state {
+public:
+    /// Audit entries kept.
+    static constexpr std::size_t audit_limit = 1000;
+
+    /// Applies the group at `next_offset()`. Precondition: `group.offset == next_offset()`.
+    control_changes apply(const control_group& group);
+
+    /// Moves an empty state to the log's earliest offset, if that is above 0. Records before the
+    /// first checkpoint are then ignored. Precondition: no group has been applied.
+    void start_at(log_offset earliest);
+
+    /// First offset not applied.
+    log_offset next_offset() const { return next_offset_; }
+
+    /// Whether the state is complete: replay began at offset 0 or a checkpoint has been applied.
+    bool complete() const { return complete_; }
+
+    /// Fleet in force.
+    const fleet& current() const { return fleet_; }
+
+    /// Members by name.
+    const std::map<instance_id, member>& members() const { return members_; }
+
+    /// Offset after the last change of members; a new change is proposed only once a majority has
+    /// applied it.
+    log_offset members_changed_at() const { return members_changed_at_; }
+
+    /// Leases by shard; a shard that nobody ever held is missing.
+    const std::map<shard_id, lease>& leases() const { return leases_; }
+
+    /// Limit levels that the last holder left with its release; empty if there are none.
+    const std::vector<limit_level>& released_levels(const shard_id& shard) const;
+
+    /// Last changes, oldest first.
+    const std::deque<audit_entry>& audit() const { return audit_; }
+
+    /// The state as a checkpoint record body.
+    control_checkpoint checkpoint() const;
+
+    /// Hash over the whole state, equal on instances that applied the same groups.
+    std::uint64_t state_hash() const;
+
+private:
+    /// Applies one record and returns whether it took effect.
+    bool apply_record(const control_group& group, const control_record& record,
+                      control_changes& changes);
+    bool apply_body(const control_group& group, const config_change& body,
+                    control_changes& changes);
+    bool apply_body(const control_group& group, const member_join& body, control_changes& changes);
+    bool apply_body(const control_group& group, const member_leave& body, control_changes& changes);
+    bool apply_body(const control_group& group, const lease_claim& body, control_changes& changes);
+    bool apply_body(const control_group& group, const lease_release& body,
+                    control_changes& changes);
+    bool apply_body(const control_group& group, const control_checkpoint& body,
+                    control_changes& changes);
+
+    bool is_member(const incarnation_id& incarnation) const;
+    void add_audit(audit_entry entry);
+
+    log_offset next_offset_ = 0;
+    bool complete_ = true;
+    fleet fleet_;
+    std::map<instance_id, member> members_;
+    log_offset members_changed_at_ = 0;
+    std::map<shard_id, lease> leases_;
+    std::map<shard_id, std::vector<limit_level>> released_levels_;
+    std::deque<audit_entry> audit_;
+    std::map<incarnation_id, std::uint64_t> writers_;
+};
+
+} // namespace gooseberryfall::core
--- /dev/null
+++ b/src/core/shard_manager.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/control_state.hpp"
+#include "core/currency.hpp"
+#include "core/records.hpp"
+#include "core/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace gooseberryfall::core {
+
+/// Settings of `shard_manager`.
+struct shard_settings {
+    incarnation_id self;
+    std::uint32_t limit_shards = 32;
+    std::uint32_t batch_partitions = 16;
+    /// Wait between a majority's knowledge of a claim and the first act, when the last holder did
+    /// not release the shard: currency bound, grant lifetime and clock margin.
+    duration takeover_wait = std::chrono::milliseconds(3300);
+    /// Time between releases for balance, so that a new member does not move all shards at once.
+    duration balance_interval = std::chrono::seconds(1);
+};
+
+/// State of one shard at this instance.
+enum class shard_phase { absent, claiming, waiting, held, releasing };
+
+/// What the manager wants done.
+struct shard_orders {
+    /// Shards to claim with one record.
+    std::vector<lease_claim::item> claims;
+    /// Shards that begin to be held: the caller prepares them.
+    std::vector<shard_id> acquired;
+    /// Shards that this instance holds no more.
+    std::vector<shard_id> lost;
+    /// Shards to give up; the caller stops acting on them, adds levels and appends the release.
+    std::vector<lease_release::item> releases;
+    /// Whether a majority's knowledge is awaited, so that probes should ask all members.
+    bool awaiting_majority = false;
+};
+
+/// Decides which leases this instance claims, holds and gives up. The rendezvous hash over serving
+/// members says who should hold a shard. A lease machine (Boost.MSM) for each shard. Not
+/// thread-safe.
+class shard_manager {
+public:
+    explicit shard_manager(shard_settings settings);
+    ~shard_manager();
+    shard_manager(const shard_manager&) = delete;
+    shard_manager& operator=(const shard_manager&) = delete;
+
+    /// The control state changed, or time has passed. `serving` are the members that should hold
+    /// shards, `silent` tells whether a holder is suspect or not a member any more.
+    shard_orders update(const control_state& state, const currency& freshness,
+                        const std::vector<instance_id>& serving,
+                        const std::vector<instance_id>& reachable, time_point now);
+
+    /// From now on all shards are given up and none is claimed.
+    void set_leaving();
+
+    /// Phase of a shard.
+    shard_phase phase(const shard_id& shard) const;
+
+    /// Epoch under which this instance holds the shard, if it may act on it, given a current
+    /// control state; the caller checks currency.
+    std::optional<lease_epoch> held_epoch(const shard_id& shard) const;
+
+    /// Shards held.
+    std::vector<shard_id> held() const;
+
+    /// Whether no shard is held, claimed or being released.
+    bool idle() const;
+
+    /// All shards of the deployment.
+    std::vector<shard_id> all_shards() const;
+
+private:
+    struct machine;
+
+    shard_settings settings_;
+    std::map<shard_id, std::unique_ptr<machine>> machines_;
+    std::optional<time_point> last_balance_;
+    bool leaving_ = false;
+};
+
+} // namespace gooseberryfall::core
--- /dev/null
+++ b/tests/core/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(core gooseberryfall_core)
