--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -92,6 +92,13 @@
     std::uint32_t partition = 0;
 };
 
+/// Reads one body of a batch stream again, to carry it forward. Answered by `body_read`; a failed
+/// read is tried again by the platform service.
+struct read_body {
+    std::uint32_t partition = 0;
+    body_position position;
+};
+
 /// Sends messages to an instance.
 struct send_peer {
     /// `ip:port`.
@@ -198,10 +205,10 @@
 /// All requests are done and all leases are released; the process may exit.
 struct stopped {};
 
-using action =
-    std::variant<dispatch, cancel_dispatch, refuse, finish_answer, append_control, append_batch,
-                 open_batch_stream, close_batch_stream, send_peer, upload_continue, job_reply,
-                 results_reply, directory_reply, apply_reply, operator_reply, log_line, stopped>;
+using action = std::variant<dispatch, cancel_dispatch, refuse, finish_answer, append_control,
+                            append_batch, open_batch_stream, close_batch_stream, read_body,
+                            send_peer, upload_continue, job_reply, results_reply, directory_reply,
+                            apply_reply, operator_reply, log_line, stopped>;
 
 /// Collects actions in order.
 using actions = std::vector<action>;
--- a/src/core/control_state.hpp
+++ b/src/core/control_state.hpp
@@ -61,9 +61,13 @@
     /// Last changes, oldest first.
     const std::deque<audit_entry>& audit() const { return audit_; }
 
-    /// The state as a checkpoint record body.
+    /// The state as a checkpoint record body. Precondition: `next_offset()` is above 0.
     control_checkpoint checkpoint() const;
 
+    /// Replaces the state by another instance's checkpoint, if that covers more. Returns whether it
+    /// did.
+    bool adopt(const control_checkpoint& snapshot);
+
     /// Hash over the whole state, equal on instances that applied the same groups.
     std::uint64_t state_hash() const;
 
--- a/src/core/currency.hpp
+++ b/src/core/currency.hpp
@@ -40,6 +40,10 @@
     /// Whether the state counts as current now.
     bool is_current(time_point now) const { return basis(now) != currency_basis::none; }
 
+    /// Whether this instance's answers may count in a majority: it has been current at least once
+    /// without counting itself. Before, it may lack what an earlier run of it confirmed.
+    bool vouches() const { return vouches_; }
+
     /// Why it counts as current now; the log is named first.
     currency_basis basis(time_point now) const;
 
@@ -68,6 +72,7 @@
     std::set<instance_id> members_;
     log_offset applied_next_ = 0;
     log_offset highest_known_ = 0;
+    bool vouches_ = false;
     bool log_known_ = false;
     answer log_;
     std::map<instance_id, answer> answers_;
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -126,6 +126,13 @@
     std::vector<batch_group> groups;
 };
 
+/// A body asked for by `read_body`.
+struct body_read {
+    std::uint32_t partition = 0;
+    body_position position;
+    std::string body;
+};
+
 /// A read or an append failed; it is tried again by the platform service.
 struct log_failed {
     time_point at;
@@ -226,9 +233,9 @@
 struct leave_requested {};
 
 using event = std::variant<tick, online_arrival, caller_gone, answer_started, dispatch_finished,
-                           load_report, load_report_failed, control_read, batch_read, log_failed,
-                           append_acknowledged, instance_list, peer_received, upload_begin,
-                           upload_items, upload_end, job_request, directory_request, operator_apply,
-                           operator_query, operator_job_cancel, leave_requested>;
+                           load_report, load_report_failed, control_read, batch_read, body_read,
+                           log_failed, append_acknowledged, instance_list, peer_received,
+                           upload_begin, upload_items, upload_end, job_request, directory_request,
+                           operator_apply, operator_query, operator_job_cancel, leave_requested>;
 
 } // namespace gooseberryfall::core
