--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -92,6 +92,11 @@
     std::uint32_t partition = 0;
 };
 
+/// Polls the load of these targets from now on, and of no others.
+struct poll_load {
+    std::vector<target> targets;
+};
+
 /// Reads one body of a batch stream again, to carry it forward. Answered by `body_read`; a failed
 /// read is tried again by the platform service.
 struct read_body {
--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -184,6 +184,9 @@
 {
     permits_[permit.target] = {permit.batch, now + permit_lifetime};
     parts_.targets.on_online_elsewhere(permit.target, permit.online_elsewhere, now);
+    if (permit.leaving) {
+        parts_.targets.on_leaving(permit.target);
+    }
     cancel_excess(now);
 }
 
@@ -209,14 +212,22 @@
 void batch_runner::update_governed(time_point now)
 {
     governed_checked_at_ = now;
+    poll_load polling;
+    std::set<target_id> governed;
     for (const auto& [id, info] : parts_.state.current().targets) {
         if (parts_.governor_of(id, now) == parts_.settings.self.instance) {
             parts_.governor.govern(id, info.slots);
+            polling.targets.push_back(info);
+            governed.insert(id);
         }
         else {
             parts_.governor.abandon(id);
         }
     }
+    if (governed != governed_) {
+        governed_ = std::move(governed);
+        parts_.emit(std::move(polling));
+    }
 }
 
 void batch_runner::send_reports(time_point now)
@@ -247,7 +258,8 @@
 
 void batch_runner::send_permits(time_point now)
 {
-    for (const addressed_permit& addressed : parts_.governor.permits(now)) {
+    for (addressed_permit& addressed : parts_.governor.permits(now)) {
+        addressed.permit.leaving = parts_.targets.leaving(addressed.permit.target);
         if (addressed.instance == parts_.settings.self.instance) {
             on_permit(addressed.permit, now);
         }
--- a/src/core/batch_runner.hpp
+++ b/src/core/batch_runner.hpp
@@ -128,6 +128,7 @@
     std::vector<waiting_query> queries_;
     std::uint32_t next_partition_ = 0;
     std::optional<time_point> governed_checked_at_;
+    std::set<target_id> governed_;
 };
 
 } // namespace gooseberryfall::core
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -107,6 +107,8 @@
     std::uint32_t batch = 0;
     /// Online requests of the other instances on the target, for routing.
     std::uint32_t online_elsewhere = 0;
+    /// Whether the target says that it is leaving.
+    bool leaving = false;
 };
 
 /// Says that a target died while it ran requests with this fingerprint.
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -98,6 +98,9 @@
     /// Whether batch work may be sent there: known, not leaving, not suspect.
     bool usable(const target_id& id, time_point now) const;
 
+    /// Whether the target is leaving, by its own word or the list.
+    bool leaving(const target_id& id) const;
+
     /// Targets of a service.
     std::vector<target_id> targets_of(const service_id& service) const;
 
