config: read the daemon's settings from TOML

Cause: the daemon needs its settings, with errors that lead an operator to the line at fault. Ruled out: a hand-written reader and a separate reference page, because ranges and names in two places drift apart. Change: one table declares each setting with name, range, default and meaning. It reads the file, refuses unknown keys with the nearest known one, checks ranges and prints docs/SETTINGS.md. Relations between settings are checked after the ranges.

--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+#include "config/daemon_settings.hpp"
+#include "config/digests.hpp"
+#include "config/endpoint.hpp"
+#include "config/problem.hpp"
+#include "config/settings_file.hpp"
+#include "config/units.hpp"
--- /dev/null
+++ b/src/config/settings_file.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "config/daemon_settings.hpp"
+#include "config/problem.hpp"
+
+#include <string>
+
+namespace gooseberryfall::config {
+
+/// Reads a settings file from its text; `file` is its name in messages. Thread-safe.
+checked<daemon_settings> parse_settings(const std::string& text, const std::string& file);
+
+/// Reads a settings file. Thread-safe.
+checked<daemon_settings> read_settings(const std::string& file);
+
+/// Reference page of all settings in Markdown, for docs/SETTINGS.md. Thread-safe.
+std::string settings_reference();
+
+} // namespace gooseberryfall::config
--- /dev/null
+++ b/src/config/toml_input.cpp
@@ -0,0 +1,142 @@
+#include "config/toml_input.hpp"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+
+namespace gooseberryfall::config {
+
+namespace {
+
+constexpr std::size_t text_limit = 16U << 20U;
+
+/// Longest line that is parsed. A dotted key nests one table for each dot, and the parser's library
+/// frees nested tables recursively, so that a very long key would exhaust the stack.
+constexpr std::size_t line_limit = 8192;
+
+std::uint32_t line_of(const toml::source_region& region)
+{
+    return region.begin.line;
+}
+
+raw_value value_of(const toml::node& node);
+
+raw_value list_of(const toml::array& array)
+{
+    std::vector<std::string> texts;
+    for (const toml::node& element : array) {
+        const auto* text = element.as_string();
+        if (text == nullptr) {
+            return other_value{"a list that holds other values than texts"};
+        }
+        texts.push_back(text->get());
+    }
+    return texts;
+}
+
+raw_value value_of(const toml::node& node)
+{
+    switch (node.type()) {
+    case toml::node_type::string:
+        return node.as_string()->get();
+    case toml::node_type::integer:
+        return node.as_integer()->get();
+    case toml::node_type::floating_point:
+        return node.as_floating_point()->get();
+    case toml::node_type::boolean:
+        return node.as_boolean()->get();
+    case toml::node_type::array:
+        return list_of(*node.as_array());
+    case toml::node_type::table:
+        return other_value{"a table"};
+    default:
+        return other_value{"a date or time"};
+    }
+}
+
+raw_table table_of(const std::string& name, const toml::table& table, bool listed)
+{
+    raw_table result;
+    result.name = name;
+    result.place = name;
+    result.line = line_of(table.source());
+    result.listed = listed;
+    for (const auto& [key, node] : table) {
+        result.fields.push_back({std::string(key.str()), value_of(node), line_of(key.source())});
+    }
+    std::stable_sort(result.fields.begin(), result.fields.end(),
+                     [](const raw_field& a, const raw_field& b) { return a.line < b.line; });
+    return result;
+}
+
+void add_root_entry(const toml::key& key, const toml::node& node, toml_input& input)
+{
+    const std::string name(key.str());
+    if (const toml::table* table = node.as_table()) {
+        input.tables.push_back(table_of(name, *table, false));
+        return;
+    }
+    const toml::array* array = node.as_array();
+    if (array == nullptr || !array->is_array_of_tables()) {
+        input.loose.push_back({name, value_of(node), line_of(key.source())});
+        return;
+    }
+    for (const toml::node& element : *array) {
+        input.tables.push_back(table_of(name, *element.as_table(), true));
+    }
+}
+
+/// Problem with the size of the text, which is checked before it is parsed.
+problem_list check_size(const std::string& text)
+{
+    if (text.size() > text_limit) {
+        return {{"", 1, "", "the file is larger than 16 MiB"}};
+    }
+    std::uint32_t line = 1;
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+        const std::size_t end = std::min(text.find('\n', begin), text.size());
+        if (end - begin > line_limit) {
+            return {{"", line, "", "the line is longer than 8192 bytes"}};
+        }
+        begin = end + 1;
+        ++line;
+    }
+    return {};
+}
+
+} // namespace
+
+checked<toml_input> parse_toml(const std::string& text)
+{
+    problem_list faults = check_size(text);
+    if (!faults.empty()) {
+        return tl::unexpected(std::move(faults));
+    }
+    try {
+        const toml::table root = toml::parse(text);
+        toml_input input;
+        for (const auto& [key, node] : root) {
+            add_root_entry(key, node, input);
+        }
+        std::stable_sort(input.tables.begin(), input.tables.end(),
+                         [](const raw_table& a, const raw_table& b) { return a.line < b.line; });
+        return input;
+    }
+    catch (const toml::parse_error& fault) {
+        const problem found{"", line_of(fault.source()), "",
+                            "not valid TOML: " + std::string(fault.description())};
+        return tl::unexpected(problem_list{found});
+    }
+}
+
+problem_list in_file(problem_list faults, const std::string& file)
+{
+    for (problem& fault : faults) {
+        fault.file = file;
+    }
+    sort_by_line(faults);
+    return faults;
+}
+
+} // namespace gooseberryfall::config
