config: read and write declarative fleet files

Cause: operators declare the fleet in a file, and a file with a fault must not be applied. Ruled out: stopping at the first fault, because an operator would then correct a long file one run at a time. Change: one table of fields per kind of entry serves reading, writing and descriptions. References, names and values that must be unique are checked with the line of each.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "config/daemon_settings.hpp"
+#include "config/description.hpp"
 #include "config/digests.hpp"
 #include "config/endpoint.hpp"
+#include "config/fleet_file.hpp"
 #include "config/problem.hpp"
 #include "config/settings_file.hpp"
 #include "config/units.hpp"
--- /dev/null
+++ b/src/config/description.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/fleet.hpp"
+
+#include <string>
+#include <vector>
+
+namespace gooseberryfall::config {
+
+/// A change of `base` for people, one line for each entry: added with its fields, changed with the
+/// fields that change, or removed. Digests are not shown. Thread-safe.
+std::vector<std::string> describe(const core::fleet_difference& change, const core::fleet& base);
+
+} // namespace gooseberryfall::config
