kernel: add registry, rings, log lines, metrics and duty threads

Cause: the daemon's threads need one way to find each other, to pass values without waiting and to report what they do. Ruled out: boost::lockfree::queue for the ring, since it holds only trivially destructible values; a synchronous log sink, since a slow reader of standard error would stop the decision thread. Change: library gooseberryfall_kernel; the ring is a boost::circular_buffer under a mutex, the log a Boost.Log asynchronous sink with a bounded queue that drops on overflow, histograms are Boost.Histogram with thread-safe counts. Conclusion: the other modules can be written against kernel/kernel.hpp.

--- /dev/null
+++ b/tests/kernel/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(kernel gooseberryfall_kernel)
