--- /dev/null
+++ b/src/http/header_fields.cpp
@@ -0,0 +1,44 @@
+#include "http/header_fields.hpp"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+
+namespace gooseberryfall::http {
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+void header_fields::set(std::string_view name, std::string value)
+{
+    remove(name);
+    fields_.emplace_back(std::string(name), std::move(value));
+}
+
+void header_fields::add(std::string name, std::string value)
+{
+    fields_.emplace_back(std::move(name), std::move(value));
+}
+
+void header_fields::remove(std::string_view name)
+{
+    std::erase_if(fields_, [name](const field& entry) { return same_name(entry.first, name); });
+}
+
+const std::string* header_fields::find(std::string_view name) const
+{
+    const auto found = std::find_if(fields_.begin(), fields_.end(), [name](const field& entry) {
+        return same_name(entry.first, name);
+    });
+    return found == fields_.end() ? nullptr : &found->second;
+}
+
+std::string header_fields::get(std::string_view name, std::string_view otherwise) const
+{
+    const std::string* found = find(name);
+    return found == nullptr ? std::string(otherwise) : *found;
+}
+
+} // namespace gooseberryfall::http
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,55 @@
+#include "http/message.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+// Compiles Boost.URL into this file; the distribution has no library for it.
+#include <boost/url/src.hpp>
+
+namespace gooseberryfall::http {
+
+std::string error_json(const error_details& error)
+{
+    boost::json::object details;
+    details["code"] = error.code;
+    details["message"] = error.message;
+    details["run"] = error.run;
+    if (error.retry_after) {
+        details["retry_after_ms"] = error.retry_after->count();
+    }
+    boost::json::object whole;
+    whole["error"] = std::move(details);
+    return boost::json::serialize(whole);
+}
+
+response error_response(const error_details& error)
+{
+    response answer;
+    answer.status = error.status;
+    answer.headers.set("Content-Type", "application/json");
+    answer.headers.set("Run-Verdict", error.run);
+    if (error.retry_after) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*error.retry_after);
+        answer.headers.set("Retry-After", std::to_string(seconds.count()));
+    }
+    answer.body = error_json(error);
+    return answer;
+}
+
+std::optional<target_parts> parse_target(std::string_view target)
+{
+    const auto parsed = boost::urls::parse_origin_form({target.data(), target.size()});
+    if (!parsed) {
+        return std::nullopt;
+    }
+    target_parts parts;
+    const auto path = parsed->encoded_path();
+    parts.path.assign(path.data(), path.size());
+    for (const auto& parameter : parsed->params()) {
+        parts.query.emplace(parameter.key, parameter.value);
+    }
+    return parts;
+}
+
+} // namespace gooseberryfall::http
