core: add poll_load to the actions

Cause: the variant of actions lacked the new struct, so that src/core did not compile. Ruled out: nothing else. Change: poll_load is listed. Measured: src/core compiles. Conclusion: done.

--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -212,8 +212,8 @@
 
 using action = std::variant<dispatch, cancel_dispatch, refuse, finish_answer, append_control,
                             append_batch, open_batch_stream, close_batch_stream, read_body,
-                            send_peer, upload_continue, job_reply, results_reply, directory_reply,
-                            apply_reply, operator_reply, log_line, stopped>;
+                            poll_load, send_peer, upload_continue, job_reply, results_reply,
+                            directory_reply, apply_reply, operator_reply, log_line, stopped>;
 
 /// Collects actions in order.
 using actions = std::vector<action>;
