--- a/src/core/quarantine.hpp
+++ b/src/core/quarantine.hpp
@@ -22,7 +22,7 @@
 /// How a request with a fingerprint is treated.
 enum class quarantine_ruling { run, run_alone, refuse };
 
-/// Fingerprint of a request: hash of team and body digest. Thread-safe.
+/// Fingerprint of a request, made of team and body digest. Thread-safe.
 digest fingerprint_of(const team_id& team, const digest& body);
 
 /// Remembers requests that were in flight when their target died. Not thread-safe.
@@ -55,6 +55,11 @@
         time_point last;
     };
 
+    bool is_over(const mark& known, time_point now) const;
+
+    /// Mark of a fingerprint, without deaths if it is new or its lifetime is over.
+    mark& mark_of(const digest& fingerprint, time_point now);
+
     quarantine_settings settings_;
     std::map<digest, mark> marks_;
 };
--- /dev/null
+++ b/tests/core/quarantine_test.cpp
@@ -0,0 +1,102 @@
+#include "core/quarantine.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+
+namespace core = gooseberryfall::core;
+using core::quarantine_ruling;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const core::time_point start{seconds(1000)};
+
+core::digest body(std::uint8_t number)
+{
+    core::digest result{};
+    result[0] = number;
+    return result;
+}
+
+} // namespace
+
+// Guards against refusing a request that only stood beside the one that crashes targets.
+Test(quarantine, refuses_only_after_a_death_alone)
+{
+    core::quarantine marks{core::quarantine_settings{}};
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::run);
+    marks.on_death(body(1), false, start);
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::run_alone);
+    marks.on_death(body(1), false, start);
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::run_alone);
+    marks.on_death(body(1), true, start);
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::refuse);
+    cr_assert(marks.rule(body(2), start) == quarantine_ruling::run);
+}
+
+// Guards against a refusal at the first death, and against a mark that outlives a success.
+Test(quarantine, success_clears_the_mark)
+{
+    core::quarantine marks{core::quarantine_settings{}};
+    marks.on_death(body(1), true, start);
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::run_alone);
+    marks.on_success(body(1));
+    cr_assert(marks.rule(body(1), start) == quarantine_ruling::run);
+    cr_assert_eq(marks.size(), 0U);
+}
+
+// Guards against a refusal without end, and against old deaths that count after it.
+Test(quarantine, lapses_ten_minutes_after_the_last_death)
+{
+    core::quarantine marks{core::quarantine_settings{}};
+    marks.on_death(body(1), true, start);
+    marks.on_death(body(1), true, start + seconds(60));
+    cr_assert(marks.remaining(body(1), start + seconds(60)) == minutes(10));
+    cr_assert(marks.remaining(body(2), start) == core::duration::zero());
+    const core::time_point later = start + seconds(60) + minutes(10);
+    cr_assert(marks.rule(body(1), later) == quarantine_ruling::run);
+    cr_assert_eq(marks.on_death(body(1), true, later).deaths, 1U);
+    cr_assert(marks.rule(body(1), later) == quarantine_ruling::run_alone);
+}
+
+// Guards against repeated notices that add deaths or prolong a refusal.
+Test(quarantine, repeated_notices_change_nothing)
+{
+    core::quarantine sender{core::quarantine_settings{}};
+    sender.on_death(body(1), false, start);
+    const core::crash_notice notice = sender.on_death(body(1), true, start);
+    core::quarantine receiver{core::quarantine_settings{}};
+    receiver.on_notice(notice, start);
+    receiver.on_notice(notice, start + minutes(5));
+    cr_assert(receiver.rule(body(1), start + minutes(5)) == quarantine_ruling::refuse);
+    cr_assert(receiver.remaining(body(1), start + minutes(5)) == minutes(5));
+    cr_assert_eq(receiver.on_death(body(1), true, start + minutes(5)).deaths, 3U);
+}
+
+// Guards against unbounded memory, and against dropping the newest marks.
+Test(quarantine, drops_the_oldest_mark)
+{
+    core::quarantine marks{core::quarantine_settings{.capacity = 2}};
+    marks.on_death(body(1), false, start + seconds(2));
+    marks.on_death(body(2), false, start + seconds(1));
+    marks.on_death(body(3), false, start + seconds(3));
+    cr_assert_eq(marks.size(), 2U);
+    cr_assert(marks.rule(body(2), start + seconds(3)) == quarantine_ruling::run);
+    cr_assert(marks.rule(body(3), start + seconds(3)) == quarantine_ruling::run_alone);
+}
+
+// Guards against one team marking another team's equal request, and against equal fingerprints.
+Test(quarantine, fingerprint_depends_on_team_and_body)
+{
+    std::set<core::digest> seen;
+    for (int team = 0; team < 10; ++team) {
+        for (std::uint8_t number = 0; number < 10; ++number) {
+            const core::team_id id{"team-" + std::to_string(team)};
+            seen.insert(core::fingerprint_of(id, body(number)));
+        }
+    }
+    cr_assert_eq(seen.size(), 100U);
+}
