core: add router and capacity governor

Cause: the classes were declared but not implemented. Ruled out: load by the target's report alone, because it does not tell batch work of others, which yields, from online work; headroom by the peak of use in the window, because a steady load would then keep idle slots from batch work. Conclusion: behaviour under several instances with message loss has not been measured.

--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -4,6 +4,7 @@
 #include "core/fleet.hpp"
 #include "core/types.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,7 +30,14 @@
     duration report_half_life = std::chrono::milliseconds(500);
     /// Time for which a target that failed is avoided; doubled with each failure in a row.
     duration suspect_time = std::chrono::milliseconds(500);
+    /// Longest time for which a failure or a refusal keeps a target out of use.
     duration suspect_limit = std::chrono::seconds(10);
+    /// Age at which the governor's word on other instances counts no more. It is repeated at least
+    /// every second.
+    duration elsewhere_lifetime = std::chrono::seconds(2);
+    /// Time for which a target has to report that it is not leaving before it is used again,
+    /// because a report may be older than the refusal that said so.
+    duration return_time = std::chrono::seconds(2);
     /// Online requests that wait inside a target beyond its slots at most, as seen here.
     std::uint32_t overcommit = 0;
 };
@@ -37,8 +45,9 @@
 /// What a request needs of a target.
 struct route_query {
     service_id service;
+    /// Hash of the prompt's first block; 0 if there is none.
     std::uint64_t prefix = 0;
-    /// Used by the random policy.
+    /// Decides between equal targets, and everything under the random policy.
     std::uint64_t request = 0;
     /// Targets that have failed this request.
     std::set<target_id> exclude;
@@ -95,7 +104,8 @@
     /// Slots not used by online requests, own or of others as far as known.
     std::uint32_t free_slots(const target_id& id, time_point now) const;
 
-    /// Whether batch work may be sent there: known, not leaving, not suspect.
+    /// Whether work may be sent there now: known, not leaving, not suspect. A suspect whose time is
+    /// over is usable while no other request tries it.
     bool usable(const target_id& id, time_point now) const;
 
     /// Targets of a service.
@@ -108,27 +118,75 @@
     std::vector<target_view> view(time_point now) const;
 
 private:
+    /// Reports for which the own peak is remembered.
+    static constexpr std::size_t peak_count = 4;
+
     struct target_state {
         target info;
+        /// False for a target that left the fleet with requests in flight.
+        bool declared = true;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
+        /// Highest number of own requests in the current and the last intervals between reports.
+        std::array<std::uint32_t, peak_count> own_peaks{};
         std::uint32_t online_elsewhere = 0;
-        time_point elsewhere_at;
-        std::uint32_t reported_running = 0;
-        std::uint32_t reported_waiting = 0;
+        std::optional<time_point> elsewhere_at;
+        /// Requests of others of any kind by the target's report.
+        std::uint32_t reported_elsewhere = 0;
         std::optional<time_point> reported_at;
-        bool leaving_by_list = false;
         bool leaving_by_word = false;
+        std::optional<time_point> staying_since;
         std::uint32_t failures = 0;
-        std::optional<time_point> avoid_until;
+        /// Own requests that were in flight at the last failure and still are, at most.
+        std::uint32_t sent_before_failure = 0;
+        std::optional<time_point> suspect_until;
+        std::optional<time_point> refused_until;
+
+        std::uint32_t own() const { return online + batch; }
+    };
+
+    /// A target that a request may use.
+    struct candidate {
+        const target_state* state = nullptr;
+        double load = 0;
     };
 
-    /// Online load over slots.
-    double load(const target_state& state, time_point now) const;
+    target_state* find_state(const target_id& id);
+    const target_state* find_state(const target_id& id) const;
+    void erase_if_unused(const target_id& id);
+    void note_started(target_state& state);
+    void note_finished(target_state& state);
+    bool is_leaving(const target_state& state) const;
+    bool is_usable(const target_state& state, time_point now) const;
+
+    /// Online requests of other instances by the governor's word, or nothing if it is too old.
+    std::optional<std::uint32_t> known_elsewhere(const target_state& state, time_point now) const;
+
+    /// Online requests known to be on the target.
+    std::uint32_t known_online(const target_state& state, time_point now) const;
+    bool is_full(const target_state& state, time_point now) const;
+    bool is_idle(const target_state& state, time_point now) const;
+    bool is_eligible(const target_state& state, const route_query& query, time_point now) const;
+
+    /// Mean of known online requests of others over slots, or nothing if none is known.
+    std::optional<double> mean_elsewhere(const std::vector<const target_state*>& states,
+                                         time_point now) const;
+
+    /// Online load over slots. `mean` bounds what a report counts for, as it does not tell batch
+    /// work of others, which yields, from online work.
+    double load(const target_state& state, std::optional<double> mean, time_point now) const;
+
+    std::vector<const target_state*> usable_of(const service_id& service, time_point now) const;
+    const target_state* affine(const std::vector<candidate>& usable, const route_query& query,
+                               time_point now) const;
+    bool is_better(const candidate& left, const candidate& right, const route_query& query,
+                   time_point now) const;
 
     router_settings settings_;
     std::map<target_id, target_state> targets_;
     std::map<service_id, std::vector<target_id>> services_;
+    /// Targets that are leaving by the platform's list.
+    std::set<target_id> leaving_;
 };
 
 } // namespace gooseberryfall::core
