core: lend and borrow tokens of team limits

Cause: limit_owner and limit_client were declared only, so that no request could be admitted. Ruled out: reports without an age, because a spend that is reported late then keeps the owner from minting in its place and a caller at exactly its rate is refused; one amount for waiting and expected requests, because the owner then drains a small burst for requests that may not come; waiting for every raise, because only a changed number of portions lets owners disagree about shares.

--- a/src/core/limit_exchange.cpp
+++ b/src/core/limit_exchange.cpp
@@ -13,14 +13,22 @@
         }
     }
     bool granted = false;
-    for (const limit_question& question : parts_.borrower.questions(local, now)) {
-        const std::optional<instance_id> holder = parts_.holder_of(question.shard, now);
-        if (holder && *holder != parts_.settings.self.instance) {
-            parts_.send(*holder, question.request);
-            continue;
+    // A portion owned here that has no token is answered at once, so that another can be asked now
+    // and not at the next event.
+    bool again = true;
+    while (again) {
+        again = false;
+        for (const limit_question& question : parts_.borrower.questions(local, now)) {
+            const std::optional<instance_id> holder = parts_.holder_of(question.shard, now);
+            if (holder && *holder != parts_.settings.self.instance) {
+                parts_.send(*holder, question.request);
+                continue;
+            }
+            const limit_grant answer = lend(parts_.settings.self, question.request, now);
+            const bool tokens = parts_.borrower.on_grant(answer, now);
+            granted = tokens || granted;
+            again = again || (question.request.wanted > 0 && !tokens);
         }
-        const limit_grant answer = lend(parts_.settings.self, question.request, now);
-        granted = parts_.borrower.on_grant(answer, now) || granted;
     }
     return granted;
 }
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -62,7 +62,13 @@
 /// Report of tokens spent out of a grant.
 struct grant_report {
     std::uint64_t grant = 0;
+    /// Tokens spent so far.
     double spent = 0;
+    /// Unspent tokens given back so far.
+    double returned = 0;
+    /// Time since the latest spend that is counted. The owner mints what the spent tokens kept it
+    /// from minting since then.
+    duration age{};
     /// Whether the borrower gives the rest back; the grant is then closed.
     bool closed = false;
 };
@@ -73,8 +79,11 @@
     std::uint32_t portion = 0;
     /// Chosen by the borrower, unique within its incarnation.
     std::uint64_t grant = 0;
-    /// Tokens wanted; 0 only reports.
+    /// Tokens wanted for requests that wait.
     double wanted = 0;
+    /// Tokens wanted for requests expected soon; lent only while the portion is plentiful. If both
+    /// are 0, the message only reports.
+    double ahead = 0;
     std::vector<grant_report> reports;
 };
 
@@ -88,6 +97,8 @@
     /// Whether the sender owns the portion and may act. If not, the borrower looks the owner up
     /// again.
     bool owner = true;
+    /// Whether at least half of the portion's burst is left, so that spends need no early report.
+    bool plentiful = false;
     /// When a token will be there, as a delay; used for Retry-After.
     duration next_token{};
 };
