config: JSON forms of the operators' API

Cause: the command and the daemon exchange fleets, changes and views as JSON, and damaged input must neither be misread nor end the daemon. Ruled out: Boost.Describe conversions, because they accept unknown and missing members and name no place. Change: fleets, differences, apply requests and replies, audit entries, status and jobs are written and read by the same field tables as the files. Every problem names its path.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -5,6 +5,8 @@
 #include "config/digests.hpp"
 #include "config/endpoint.hpp"
 #include "config/fleet_file.hpp"
+#include "config/fleet_json.hpp"
 #include "config/problem.hpp"
 #include "config/settings_file.hpp"
 #include "config/units.hpp"
+#include "config/view_json.hpp"
--- a/src/config/field_values.cpp
+++ b/src/config/field_values.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t name_limit = 64;
+constexpr std::size_t author_limit = 100;
 constexpr std::size_t note_limit = 1000;
 constexpr std::size_t path_limit = 200;
 
@@ -36,6 +37,14 @@
     return text.empty() || is_name(text);
 }
 
+bool is_author(const std::string& text)
+{
+    const bool sized = !text.empty() && text.size() <= author_limit;
+    return sized && std::none_of(text.begin(), text.end(), [](unsigned char character) {
+               return character < ' ' || character == 0x7f;
+           });
+}
+
 bool is_note(const std::string& text)
 {
     return text.size() <= note_limit;
@@ -69,7 +78,9 @@
 const text_form optional_name_form{
     "empty or a name of 1 to 64 letters, digits or -_.: that begins with a letter or digit",
     is_name_or_empty};
+const text_form author_form{"a text of 1 to 100 bytes without control characters", is_author};
 const text_form note_form{"a text of at most 1000 bytes", is_note};
+const text_form any_form{"a text", [](const std::string&) { return true; }};
 const text_form file_form{"the path of a file", is_file};
 const text_form prefix_form{"a path such as \"/studio/\" that begins and ends with /, of at most "
                             "200 letters, digits or -_.~/ and without empty, . or .. parts",
--- a/src/config/field_values.hpp
+++ b/src/config/field_values.hpp
@@ -24,9 +24,15 @@
 /// A name, or nothing.
 extern const text_form optional_name_form;
 
+/// Who makes a change.
+extern const text_form author_form;
+
 /// Text for people, of at most 1000 bytes.
 extern const text_form note_form;
 
+/// Any text.
+extern const text_form any_form;
+
 /// Path of a file, or nothing.
 extern const text_form file_form;
 
--- a/src/config/fields.hpp
+++ b/src/config/fields.hpp
@@ -258,8 +258,8 @@
         return;
     }
     const std::string found = definition.secret ? "" : "; found " + to_text(given.value);
-    faults.push_back(
-        {"", given.line, table.place + "." + given.name, "must be " + definition.allowed + found});
+    faults.push_back({"", given.line, place_in(table.place, given.name),
+                      "must be " + definition.allowed + found});
 }
 
 /// Reads a table into the object. Adds a problem for every value that is not allowed, every unknown
@@ -278,13 +278,13 @@
             read_field(object, *definition, given, table, faults);
             continue;
         }
-        const std::string nearest = nearest_name(table.name + "." + given.name, known);
-        faults.push_back({"", given.line, table.place + "." + given.name,
+        const std::string nearest = nearest_name(place_in(table.name, given.name), known);
+        faults.push_back({"", given.line, place_in(table.place, given.name),
                           "unknown key; the nearest known key is " + nearest});
     }
     for (const field<Object>& definition : fields) {
         if (definition.required && table.find(definition.name) == nullptr) {
-            faults.push_back({"", table.line, table.place + "." + definition.name,
+            faults.push_back({"", table.line, place_in(table.place, definition.name),
                               "missing; must be " + definition.allowed});
         }
     }
--- a/src/config/fleet_reader.cpp
+++ b/src/config/fleet_reader.cpp
@@ -45,7 +45,7 @@
         read<core::team>(table);
     }
     else if (table.name == "key") {
-        read<core::api_key>(table);
+        read<core::api_key>(without_plain_keys(table));
     }
     else if (table.name == "model") {
         read<core::model>(table);
@@ -99,20 +99,9 @@
 template <class Entry>
 void fleet_reader::read(const raw_table& table)
 {
-    raw_table accepted = table;
-    if constexpr (std::is_same_v<Entry, core::api_key>) {
-        std::erase_if(accepted.fields, is_plain_key);
-        for (const raw_field& given : table.fields) {
-            if (is_plain_key(given)) {
-                faults_.push_back({"", given.line, table.place + "." + given.name,
-                                   "a key is never written as it is; write `hash`, the SHA-256 of "
-                                   "the key, as printed by: printf %s KEY | sha256sum"});
-            }
-        }
-    }
     const std::size_t before = faults_.size();
     Entry entry;
-    read_fields(entry, accepted, entry_fields<Entry>(), entry_field_names(), faults_);
+    read_fields(entry, table, entry_fields<Entry>(), entry_field_names(), faults_);
     if (faults_.size() != before) {
         return;
     }
@@ -122,6 +111,19 @@
     entries_.push_back({std::move(entry), table});
 }
 
+raw_table fleet_reader::without_plain_keys(raw_table table)
+{
+    for (const raw_field& given : table.fields) {
+        if (is_plain_key(given)) {
+            faults_.push_back({"", given.line, place_in(table.place, given.name),
+                               "a key is never written as it is; write `hash`, the SHA-256 of the "
+                               "key, as printed by: printf %s KEY | sha256sum"});
+        }
+    }
+    std::erase_if(table.fields, is_plain_key);
+    return table;
+}
+
 void fleet_reader::declare(const raw_table& table)
 {
     const raw_field* given = table.find("name");
--- a/src/config/fleet_reader.hpp
+++ b/src/config/fleet_reader.hpp
@@ -44,6 +44,9 @@
     template <class Entry>
     void read(const raw_table& table);
 
+    /// Reports fields that hold a key as it is, and takes them out, so that no message shows it.
+    raw_table without_plain_keys(raw_table table);
+
     void declare(const raw_table& table);
     void check_form(const core::service& entry, const raw_table& table);
     void check_reference(const located_entry& located);
--- a/src/config/raw_value.cpp
+++ b/src/config/raw_value.cpp
@@ -50,6 +50,11 @@
     return field != nullptr ? field->line : line;
 }
 
+std::string place_in(const std::string& place, const std::string& name)
+{
+    return place.empty() ? name : place + "." + name;
+}
+
 std::string to_text(const raw_value& value)
 {
     return std::visit(text_visitor{}, value);
--- a/src/config/raw_value.hpp
+++ b/src/config/raw_value.hpp
@@ -47,6 +47,9 @@
     std::uint32_t line_of(const std::string& field_name) const;
 };
 
+/// `place.name`, without the dot if the place is empty. Thread-safe.
+std::string place_in(const std::string& place, const std::string& name);
+
 /// The value as it is written, shortened if it is long. Thread-safe.
 std::string to_text(const raw_value& value);
 
