--- /dev/null
+++ b/src/callers/callers.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+/// Public header of the callers' API.
+
+#include "callers/callers_api.hpp"
--- /dev/null
+++ b/src/operators/operators.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+/// Public header of the operators' API.
+
+#include "operators/operators_api.hpp"
