core: test that slots move only after they are given up

Ruled out: a looser bound on the time of a raise. Change: the test reports no streams under the first permit at first, and bounds the time of raises to 150 ms.

--- a/tests/core/capacity_governor_test.cpp
+++ b/tests/core/capacity_governor_test.cpp
@@ -202,14 +202,20 @@
     test.set(alpha, 0, 0, 100);
     test.run(seconds(1));
     cr_assert_eq(test.permit(alpha), 10U);
-    test.set(alpha, 0, 10, 90);
     test.set(beta, 0, 0, 100);
+    test.run(milliseconds(100));
+    // Nothing tells yet whether streams were started under the permit of 10.
+    cr_assert_eq(test.permit(beta), 0U);
+    test.set(alpha, 0, 10, 90);
     test.run(milliseconds(200));
     cr_assert_eq(test.permit(alpha), 5U);
     cr_assert_eq(test.permit(beta), 0U);
     test.set(alpha, 0, 5, 95);
-    test.run(milliseconds(200));
+    test.run(milliseconds(150));
     cr_assert_eq(test.permit(beta), 5U);
+    test.set(alpha, 0, 0, 0);
+    test.run(milliseconds(150));
+    cr_assert_eq(test.permit(beta), 10U);
 }
 
 // Guards against slots lost to an instance that died, and against their reuse while its permit
