wire: add the Cap'n Proto schema and codecs

Cause: records of the log and messages between instances have no byte form. Change: schema, generated code and codecs for control groups, batch groups and envelopes. The unions start with a member for "not set", so that zeroed input is an error. The schema follows the fields `base` of member_join and member_leave and `members_changed_at` of the checkpoint.

--- /dev/null
+++ b/src/wire/control_conversion.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "wire/values.hpp"
+
+namespace gooseberryfall::wire {
+
+// Private to this library: conversion of control records, which the log and relays carry.
+
+core::control_record read(schema::ControlRecord::Reader reader);
+void write(schema::ControlRecord::Builder builder, const core::control_record& value);
+
+} // namespace gooseberryfall::wire
--- /dev/null
+++ b/tests/wire/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(wire gooseberryfall_wire)
