--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -73,7 +73,9 @@
 };
 
 /// Adds an instance, or replaces its earlier incarnation. Ignored unless `base` is the offset after
-/// the last change of members: members change one at a time, so that majorities overlap.
+/// the last change of members: members change one at a time, so that majorities overlap. A
+/// replacement may have any base, because the number of members stays the same and the earlier
+/// incarnation has ended; a fleet that is restarted as a whole could not come back otherwise.
 struct member_join {
     log_offset base = 0;
     member joined;
