core: add fleet, control state, currency, membership and shard manager

Cause: the decision core's agreement part was declared only. Ruled out: a takeover wait counted from the read-back of the claim, because a holder cut off from the log goes on while a majority that has not seen the claim vouches for it; releasing a shard that still waits, because the next holder would not wait for the one before; claiming on suspicion alone, because an instance cut off from its peers suspects everybody and would take shards that it cannot act on; counting a restarted instance's earlier answers, because it may have applied less. Member changes name the state that they are based on; a replacement of an earlier incarnation need not, since a fleet restarted as a whole has nobody who could answer. A checkpoint holds the offset of the last change of members.

--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -4,6 +4,7 @@
 #include "core/types.hpp"
 #include "core/verdict.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -51,8 +52,10 @@
     std::vector<control_record> records;
 };
 
-/// Relays control groups, in order and without gaps.
+/// Relays control groups, in order and without gaps, to an instance that cannot read the log.
 struct control_relay {
+    /// Whole state, if the sender does not have the groups asked for any more.
+    std::optional<control_checkpoint> snapshot;
     std::vector<control_group> groups;
 };
 
@@ -166,6 +169,8 @@
 /// Messages from one instance to another, sent together.
 struct peer_envelope {
     incarnation_id from;
+    /// Where the sender can be answered, as `ip:port`; needed until it is a member.
+    std::string from_address;
     /// Incarnation that the message is for; number 0 if unknown. A receiver drops what is meant for
     /// another run of itself.
     incarnation_id to;
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -72,13 +72,19 @@
     fleet_difference change;
 };
 
-/// Adds an instance, or replaces its earlier incarnation.
+/// Adds an instance, or replaces its earlier incarnation. Ignored unless `base` is the offset after
+/// the last change of members: members change one at a time, so that majorities overlap. A
+/// replacement may have any base, because the number of members stays the same and the earlier
+/// incarnation has ended; a fleet that is restarted as a whole could not come back otherwise.
 struct member_join {
+    log_offset base = 0;
     member joined;
 };
 
-/// Removes an instance. Ignored unless the incarnation is a member.
+/// Removes an instance. Ignored unless the incarnation is a member and `base` is the offset after
+/// the last change of members.
 struct member_leave {
+    log_offset base = 0;
     incarnation_id left;
 };
 
@@ -136,6 +142,7 @@
     log_offset covers = 0;
     fleet state;
     std::vector<member> members;
+    log_offset members_changed_at = 0;
     std::map<shard_id, lease> leases;
     std::map<shard_id, std::vector<limit_level>> released_levels;
     std::vector<audit_entry> audit;
--- a/src/core/shard_manager.hpp
+++ b/src/core/shard_manager.hpp
@@ -23,6 +23,19 @@
     duration takeover_wait = std::chrono::milliseconds(3300);
     /// Time between releases for balance, so that a new member does not move all shards at once.
     duration balance_interval = std::chrono::seconds(1);
+    /// Time for which a holder must stay silent to this instance after a majority has been asked,
+    /// so that a holder that only others suspect can still answer.
+    duration confirm_time = std::chrono::milliseconds(60);
+    /// Age of a majority's answers up to which a silent holder's shard may be claimed; older
+    /// answers may be from before this instance was cut off.
+    duration majority_age = std::chrono::seconds(1);
+    /// Time after which a claim or release that has not been read back is ordered again.
+    duration retry_interval = std::chrono::seconds(3);
+    /// Time after which the next instance in rendezvous order claims a shard that the one before it
+    /// leaves alone, for example because it cannot write to the log.
+    duration fallback_interval = std::chrono::seconds(2);
+    /// Time for which a shard that was claimed as a fallback is not moved back.
+    duration fallback_hold = std::chrono::seconds(60);
 };
 
 /// State of one shard at this instance.
@@ -34,9 +47,10 @@
     std::vector<lease_claim::item> claims;
     /// Shards that begin to be held: the caller prepares them.
     std::vector<shard_id> acquired;
-    /// Shards that this instance holds no more.
+    /// Shards that this instance holds no more, because another one claimed them.
     std::vector<shard_id> lost;
-    /// Shards to give up; the caller stops acting on them, adds levels and appends the release.
+    /// Shards to give up; the caller stops acting on them, adds levels and appends the release. A
+    /// release that was not read back is ordered again.
     std::vector<lease_release::item> releases;
     /// Whether a majority's knowledge is awaited, so that probes should ask all members.
     bool awaiting_majority = false;
@@ -51,14 +65,19 @@
     ~shard_manager();
     shard_manager(const shard_manager&) = delete;
     shard_manager& operator=(const shard_manager&) = delete;
+    shard_manager(shard_manager&&) = delete;
+    shard_manager& operator=(shard_manager&&) = delete;
 
     /// The control state changed, or time has passed. `serving` are the members that should hold
-    /// shards, `silent` tells whether a holder is suspect or not a member any more.
+    /// shards, `reachable` those that are not suspect; both sorted. Must be called after every
+    /// change of the control state before `held_epoch` is asked. Nothing is done while the state is
+    /// incomplete.
     shard_orders update(const control_state& state, const currency& freshness,
                         const std::vector<instance_id>& serving,
                         const std::vector<instance_id>& reachable, time_point now);
 
-    /// From now on all shards are given up and none is claimed.
+    /// From now on all shards are given up and none is claimed. A shard is given up once the log
+    /// can be read, since nobody could take it before.
     void set_leaving();
 
     /// Phase of a shard.
@@ -71,7 +90,8 @@
     /// Shards held.
     std::vector<shard_id> held() const;
 
-    /// Whether no shard is held, claimed or being released.
+    /// Whether no shard is held, claimed or being released. A shard whose claim no majority knows
+    /// does not count while leaving.
     bool idle() const;
 
     /// All shards of the deployment.
@@ -79,10 +99,25 @@
 
 private:
     struct machine;
+    struct situation;
+
+    void rank_candidates(const std::vector<instance_id>& serving);
+    void follow_log(machine& entry, const situation& seen, shard_orders& orders);
+    void follow_lease(machine& entry, const situation& seen, shard_orders& orders);
+    void follow_wait(machine& entry, const situation& seen, shard_orders& orders);
+    void follow_retry(machine& entry, const situation& seen, shard_orders& orders);
+    void consider_claim(machine& entry, const situation& seen, shard_orders& orders);
+    bool may_claim(machine& entry, const situation& seen, shard_orders& orders) const;
+    void release(machine& entry, time_point now, shard_orders& orders);
+    void balance(const situation& seen, shard_orders& orders);
+    bool is_misplaced(const machine& entry, const situation& seen) const;
 
     shard_settings settings_;
     std::map<shard_id, std::unique_ptr<machine>> machines_;
-    std::optional<time_point> last_balance_;
+    /// Serving members for which the candidates of each shard were ranked.
+    std::vector<instance_id> ranked_;
+    /// When a lease of any shard was last seen to change.
+    std::optional<time_point> last_change_;
     bool leaving_ = false;
 };
 
