core: run the whole node on one fake deployment

Cause: parts of the core had not run together. An instance that restarted during an outage of the log stayed not current: peers sent their answers to its earlier run. Ruled out: the relay itself; the groups arrived and were applied, only the probe answers were dropped. Change: answers go to the newest run that was heard; seeds give a new instance the control state while the log is down; a replacement joins without waiting for a majority; ended members do not count in a majority; governors pass on whether a target leaves.

--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -184,9 +184,7 @@
 {
     permits_[permit.target] = {permit.batch, now + permit_lifetime};
     parts_.targets.on_online_elsewhere(permit.target, permit.online_elsewhere, now);
-    if (permit.leaving) {
-        parts_.targets.on_leaving(permit.target);
-    }
+    parts_.targets.on_leaving_word(permit.target, permit.leaving, now);
     cancel_excess(now);
 }
 
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -15,6 +15,9 @@
 /// Time between two requests for missing groups.
 constexpr std::chrono::milliseconds request_interval{100};
 
+/// Time between two questions to the seeds.
+constexpr std::chrono::milliseconds seed_interval{500};
+
 /// Time after which a membership record that had no effect is written again.
 constexpr std::chrono::seconds membership_interval{1};
 
@@ -229,11 +232,30 @@
 
 bool control_log::awaiting_majority() const
 {
-    const log_offset changed = parts_.state.members_changed_at();
-    const bool settled = changed == 0 || parts_.freshness.majority_applied(changed - 1);
+    const bool settled = parts_.freshness.members_settled(parts_.state.members_changed_at());
     return !applies_.empty() || !settled || !is_member();
 }
 
+void control_log::ask_seeds(time_point now)
+{
+    const bool has_state = parts_.state.complete() && parts_.state.next_offset() > 0;
+    if (has_state || parts_.freshness.log_readable(now)) {
+        return;
+    }
+    if (seeds_asked_at_ && now < *seeds_asked_at_ + seed_interval) {
+        return;
+    }
+    seeds_asked_at_ = now;
+    for (const std::string& address : parts_.settings.seeds) {
+        send_peer asking;
+        asking.address = address;
+        asking.envelope.from = parts_.settings.self;
+        asking.envelope.from_address = parts_.settings.peer_address;
+        asking.envelope.messages.emplace_back(control_request{parts_.state.next_offset()});
+        parts_.emit(std::move(asking));
+    }
+}
+
 void control_log::maintain_membership(time_point now)
 {
     if (!parts_.state.complete() || !parts_.freshness.log_readable(now)) {
@@ -243,9 +265,10 @@
         return;
     }
     const log_offset base = parts_.state.members_changed_at();
-    const bool settled =
-        parts_.state.members().empty() || parts_.freshness.majority_applied(base - 1);
-    if (!settled) {
+    // A new run of a member replaces the earlier one without waiting: the number of members stays.
+    const bool replaces =
+        !is_member() && parts_.state.members().contains(parts_.settings.self.instance);
+    if (!replaces && !parts_.freshness.members_settled(base)) {
         return;
     }
     if (leaving_since_) {
@@ -297,6 +320,7 @@
 
 void control_log::tick(time_point now)
 {
+    ask_seeds(now);
     maintain_membership(now);
     write_checkpoint(now);
     answer_applies(now);
--- a/src/core/control_log.hpp
+++ b/src/core/control_log.hpp
@@ -65,6 +65,8 @@
     void resolve_applies(const control_group& group);
     void answer_applies(time_point now);
     void answer(const pending_apply& pending);
+    /// Asks the seeds for the state while this instance has none and cannot read the log.
+    void ask_seeds(time_point now);
     void maintain_membership(time_point now);
     void write_checkpoint(time_point now);
     bool is_member() const;
@@ -75,6 +77,7 @@
     /// Last groups, for relays.
     std::deque<control_group> recent_;
     std::optional<time_point> requested_at_;
+    std::optional<time_point> seeds_asked_at_;
     std::optional<time_point> membership_written_at_;
     std::optional<time_point> checkpoint_written_at_;
     wall_time checkpoint_wall_{};
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -141,6 +141,7 @@
                          control_.awaiting_majority();
     parts_.members.tick(parts_.event_time, parts_.state.next_offset(), ask_all, probes);
     send_probes(probes);
+    parts_.freshness.set_ended(parts_.members.ended(parts_.event_time));
     update_shards();
     control_.tick(parts_.event_time);
     jobs_.tick(parts_.event_time);
@@ -296,11 +297,7 @@
 void node::implementation::on_state_changed(const control_changes& changes)
 {
     if (changes.members) {
-        std::set<instance_id> names;
-        for (const auto& [id, info] : parts_.state.members()) {
-            names.insert(id);
-        }
-        parts_.freshness.set_members(names);
+        parts_.freshness.set_members(parts_.state.members());
         parts_.members.set_members(parts_.state.members(), parts_.event_time);
     }
     if (changes.config) {
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -17,6 +17,8 @@
 #include "core/types.hpp"
 
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace gooseberryfall::core {
 
@@ -27,6 +29,8 @@
     /// Addresses that other instances and callers are told, as `ip:port`.
     std::string caller_address;
     std::string peer_address;
+    /// Peer addresses that a new instance asks for the control state while it cannot read the log.
+    std::vector<std::string> seeds;
     std::uint32_t limit_shards = 32;
     std::uint32_t batch_partitions = 16;
     /// Age up to which control state counts as current.
@@ -75,6 +79,8 @@
     ~node();
     node(const node&) = delete;
     node& operator=(const node&) = delete;
+    node(node&&) = delete;
+    node& operator=(node&&) = delete;
 
     /// Handles one event and returns what is to be done, in order. Precondition: `now` does not go
     /// back.
--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -70,7 +70,7 @@
 
 node_parts::node_parts(const node_settings& node_configuration)
     : settings(node_configuration),
-      freshness({node_configuration.self.instance, node_configuration.currency_bound}),
+      freshness({node_configuration.self, node_configuration.currency_bound}),
       members(make_membership_settings(node_configuration)),
       shards(make_shard_settings(node_configuration)),
       owner(make_owner_settings(node_configuration)),
@@ -108,9 +108,13 @@
             sending.address = known->peer_address;
             sending.envelope.to = known->incarnation;
         }
-        else if (const auto found = addresses_.find(to); found != addresses_.end()) {
-            sending.envelope.to = found->second.first;
-            sending.address = found->second.second;
+        // An instance that has restarted writes before its new run is a member.
+        const auto heard = addresses_.find(to);
+        const bool newer = heard != addresses_.end() &&
+                           (known == nullptr || known->incarnation < heard->second.first);
+        if (newer) {
+            sending.envelope.to = heard->second.first;
+            sending.address = heard->second.second;
         }
         if (sending.address.empty()) {
             continue;
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -386,20 +386,38 @@
     state->reported_at = now;
     std::copy_backward(peaks.begin(), peaks.end() - 1, peaks.end());
     peaks.front() = state->own();
+    note_word(*state, leaving, now);
+}
+
+void router::on_leaving_word(const target_id& id, bool leaving, time_point now)
+{
+    if (target_state* state = find_state(id)) {
+        note_word(*state, leaving, now);
+    }
+}
+
+void router::note_word(target_state& state, bool leaving, time_point now)
+{
     if (leaving) {
-        state->leaving_by_word = true;
+        state.leaving_by_word = true;
     }
-    if (leaving || leaving_.contains(id)) {
-        state->staying_since.reset();
+    if (leaving || leaving_.contains(state.info.id)) {
+        state.staying_since.reset();
         return;
     }
-    const time_point since = state->staying_since.value_or(now);
-    state->staying_since = since;
+    const time_point since = state.staying_since.value_or(now);
+    state.staying_since = since;
     if (now >= since + settings_.return_time) {
-        state->leaving_by_word = false;
+        state.leaving_by_word = false;
     }
 }
 
+bool router::leaving(const target_id& id) const
+{
+    const target_state* state = find_state(id);
+    return state != nullptr && is_leaving(*state);
+}
+
 void router::on_online_elsewhere(const target_id& id, std::uint32_t online, time_point now)
 {
     if (target_state* state = find_state(id)) {
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -91,6 +91,9 @@
     /// `set_leaving` no longer names it.
     void on_leaving(const target_id& id);
 
+    /// What the target's governor says about whether it is leaving.
+    void on_leaving_word(const target_id& id, bool leaving, time_point now);
+
     void on_report(const target_id& id, std::uint32_t running, std::uint32_t waiting, bool leaving,
                    time_point now);
 
@@ -159,6 +162,7 @@
     void erase_if_unused(const target_id& id);
     void note_started(target_state& state);
     void note_finished(target_state& state);
+    void note_word(target_state& state, bool leaving, time_point now);
     bool is_leaving(const target_state& state) const;
     bool is_usable(const target_state& state, time_point now) const;
 
--- a/tests/core/fake_deployment.cpp
+++ b/tests/core/fake_deployment.cpp
@@ -131,6 +131,9 @@
     settings.data_centre = core::data_centre_id("dc-" + std::to_string(instance % 3));
     settings.caller_address = "127.0.0.1:" + std::to_string(10000 + instance);
     settings.peer_address = std::to_string(instance);
+    for (std::uint32_t other = 0; other < size(); ++other) {
+        settings.seeds.push_back(std::to_string(other));
+    }
     settings.limit_shards = limit_shards_;
     settings.batch_partitions = batch_partitions_;
     state.node = std::make_unique<core::node>(settings);
