http: add the server and the client

Cause: every outside protocol is HTTP, and the failures it can show (silent, late, cut-off, mixed-up, oversized) have to be told apart at one place. Ruled out: Beast's composed reads, because a read that is cancelled to start the next request loses the notice of a client that goes; brace-initialized temporaries and awaited conditions in some coroutines, which g++ 12 miscompiles (noted at the places). Change: coroutine server with read-ahead per connection, answers from any thread with a bounded buffer, uploads in pieces, drain; client with pool, time limit per phase, and a result that says whether a byte may have left; both over one transport with or without TLS.

--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -141,7 +141,8 @@
     /// Precondition: `loop` outlives the client.
     explicit client(event_loop& loop, client_settings settings = {});
 
-    /// Cancels all calls; their `on_done` has been called when this returns.
+    /// Cancels all calls; their `on_done` has been called when this returns. Must not be called
+    /// within `on_head` or `on_piece`.
     ~client();
 
     client(const client&) = delete;
--- /dev/null
+++ b/src/http/client_call.cpp
@@ -0,0 +1,415 @@
+#include "http/client_core.hpp"
+
+#include "http/wire_text.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <exception>
+#include <utility>
+
+namespace gooseberryfall::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+constexpr std::size_t read_size = 16U << 10U;
+/// A body up to this size is written together with its head.
+constexpr std::size_t joined_body_max = 64U << 10U;
+/// Time to read an answer that came before the request was written whole, for example a 413.
+constexpr std::chrono::milliseconds early_answer_time{200};
+
+} // namespace
+
+call_handle::call_handle(asio::io_context& context, std::weak_ptr<client_call> call)
+    : gate_(context), call_(std::move(call))
+{
+}
+
+void call_handle::cancel()
+{
+    cancelled_ = true;
+    gate_.post([weak = call_] {
+        if (const auto call = weak.lock()) {
+            call->stop();
+        }
+    });
+}
+
+void call_handle::resume()
+{
+    gate_.post([weak = call_] {
+        if (const auto call = weak.lock()) {
+            call->go_on();
+        }
+    });
+}
+
+client_call::client_call(std::shared_ptr<client_core> core, client_request request,
+                         call_observer observer)
+    : core_(std::move(core)), request_(std::move(request)), observer_(std::move(observer)),
+      connecting_(core_->context), resumed_(core_->context.get_executor()),
+      deadline_(core_->context.get_executor(), [this] { expired(); })
+{
+    // Bounds what a side that never ends a chunk header can make us keep.
+    buffer_.max_size(core_->settings.header_limit + 2 * read_size);
+}
+
+std::shared_ptr<client_call> client_call::make(std::shared_ptr<client_core> core,
+                                               client_request request, call_observer observer)
+{
+    boost::asio::io_context& context = core->context;
+    auto call =
+        std::make_shared<client_call>(std::move(core), std::move(request), std::move(observer));
+    call->handle_ = std::make_shared<call_handle>(context, call);
+    return call;
+}
+
+void client_call::go_on()
+{
+    resume_pending_ = true;
+    resumed_.notify();
+}
+
+void client_call::run()
+{
+    asio::co_spawn(
+        core_->context, [self = shared_from_this()] { return self->perform(); }, asio::detached);
+}
+
+void client_call::stop()
+{
+    if (done_) {
+        return;
+    }
+    fail(call_outcome::cancelled, "cancelled");
+    error_code ignored;
+    connecting_.close(ignored);
+    if (connection_ != nullptr) {
+        connection_->close();
+    }
+    resumed_.notify();
+    done();
+}
+
+awaitable<void> client_call::perform()
+{
+    try {
+        co_await attempt(request_.use == connection_use::fresh);
+        if (may_try_again()) {
+            // What made one idle connection stale has probably hit the others, too.
+            core_->forget(request_.address);
+            failed_ = false;
+            result_ = call_result();
+            co_await attempt(true);
+        }
+    }
+    catch (const std::exception& error) {
+        fail(call_outcome::invalid_answer, error.what());
+    }
+    connection_.reset();
+    done();
+}
+
+awaitable<void> client_call::attempt(bool fresh)
+{
+    buffer_.clear();
+    write_failed_ = false;
+    // g++ 12 lays out the frame of this function wrongly if the results are awaited in conditions.
+    bool going = co_await obtain_connection(fresh);
+    if (going) {
+        going = co_await write_request();
+    }
+    if (going) {
+        going = co_await read_head();
+    }
+    if (going) {
+        going = co_await read_body();
+    }
+    if (going) {
+        finish_connection();
+    }
+}
+
+bool client_call::may_try_again() const
+{
+    if (done_ || !failed_ || !reused_ || answer_begun_) {
+        return false;
+    }
+    if (result_.outcome == call_outcome::not_sent) {
+        return true;
+    }
+    return result_.outcome == call_outcome::connection_lost && request_.use == connection_use::any;
+}
+
+awaitable<bool> client_call::obtain_connection(bool fresh)
+{
+    reused_ = false;
+    if (!fresh) {
+        connection_ = core_->take(request_.address, request_.use);
+        reused_ = connection_ != nullptr;
+    }
+    if (!reused_) {
+        co_return co_await connect();
+    }
+    co_return true;
+}
+
+awaitable<bool> client_call::connect()
+{
+    const auto endpoint = parse_endpoint(request_.address);
+    if (!endpoint) {
+        fail(call_outcome::not_sent, "not a numeric address: " + request_.address);
+        co_return false;
+    }
+    begin(call_phase::connect, request_.timeouts.connect);
+    const auto [error] =
+        co_await connecting_.async_connect(*endpoint, asio::as_tuple(asio::use_awaitable));
+    if (error || failed_) {
+        fail(call_outcome::not_sent, "cannot connect: " + error.message());
+        co_return false;
+    }
+    connection_ = core_->wrap(std::move(connecting_), request_.address);
+    connecting_ = tcp::socket(core_->context);
+    const error_code refused = co_await connection_->handshake();
+    if (refused || failed_) {
+        fail(call_outcome::not_sent, "TLS handshake failed: " + refused.message());
+        co_return false;
+    }
+    co_return true;
+}
+
+awaitable<bool> client_call::write_request()
+{
+    begin(call_phase::write, request_.timeouts.write);
+    const std::string& body = request_.body;
+    std::string text = request_head_text(request_.method, request_.target, request_.headers,
+                                         request_.address, body.size());
+    const bool joined = body.size() <= joined_body_max;
+    if (joined) {
+        text += body;
+    }
+    // Holds if the call is cancelled before the count is known.
+    result_.sent = true;
+    io_result written = co_await connection_->write(asio::buffer(text));
+    // What TLS has encrypted may have left although it is not counted.
+    result_.sent = written.bytes > 0 || core_->settings.tls.has_value();
+    if (!written.error && !joined) {
+        written = co_await connection_->write(asio::buffer(body));
+    }
+    if (written.error && !result_.sent) {
+        fail(call_outcome::not_sent, "cannot write: " + written.error.message());
+        if (result_.outcome == call_outcome::timed_out) {
+            result_.outcome = call_outcome::not_sent;
+        }
+    }
+    write_failed_ = static_cast<bool>(written.error);
+    co_return !failed_;
+}
+
+awaitable<bool> client_call::read_head()
+{
+    const auto limit = write_failed_ ? early_answer_time : request_.timeouts.first_byte;
+    begin(call_phase::first_byte, limit);
+    parser_.emplace();
+    parser_->eager(false);
+    parser_->header_limit(static_cast<std::uint32_t>(core_->settings.header_limit));
+    parser_->body_limit(boost::none);
+    parser_->skip(request_.method == "HEAD");
+    while (!parser_->is_header_done()) {
+        if (buffer_.size() == 0 && !co_await read_more()) {
+            co_return false;
+        }
+        error_code error;
+        const std::size_t consumed = parser_->put(buffer_.data(), error);
+        buffer_.consume(consumed);
+        if (error && error != beast::http::error::need_more) {
+            fail(call_outcome::invalid_answer, "malformed answer: " + error.message());
+            co_return false;
+        }
+        if (error && !co_await read_more()) {
+            co_return false;
+        }
+    }
+    if (parser_->get().result_int() < 200) {
+        co_return co_await read_head();
+    }
+    co_return check_head();
+}
+
+bool client_call::check_head()
+{
+    if (!parser_->is_done() && !parser_->chunked() && !parser_->content_length()) {
+        // Its end could not be told from a lost connection.
+        fail(call_outcome::invalid_answer, "the answer declares no length");
+        return false;
+    }
+    result_.head.status = parser_->get().result_int();
+    result_.head.headers = copy_fields(parser_->get());
+    return true;
+}
+
+awaitable<bool> client_call::read_body()
+{
+    if (observer_.on_head) {
+        co_await wait_while(observer_.on_head(result_.head));
+    }
+    std::string piece;
+    while (!is_over() && !parser_->is_done()) {
+        if (buffer_.size() == 0 && !co_await read_more()) {
+            co_return false;
+        }
+        std::array<char, read_size> bytes{};
+        auto& body = parser_->get().body();
+        body.data = bytes.data();
+        body.size = bytes.size();
+        body.more = true;
+        error_code error;
+        const std::size_t consumed = parser_->put(buffer_.data(), error);
+        buffer_.consume(consumed);
+        piece.assign(bytes.data(), bytes.size() - body.size);
+        const bool wants_more = error == beast::http::error::need_more;
+        if (error && !wants_more && error != beast::http::error::need_buffer) {
+            fail(call_outcome::invalid_answer, "malformed answer: " + error.message());
+            co_return false;
+        }
+        if (!piece.empty() && !co_await deliver(std::move(piece))) {
+            co_return false;
+        }
+        if (wants_more && !parser_->is_done() && !co_await read_more()) {
+            co_return false;
+        }
+    }
+    co_return !is_over();
+}
+
+awaitable<bool> client_call::deliver(std::string piece)
+{
+    if (is_over()) {
+        co_return false;
+    }
+    if (observer_.on_piece) {
+        co_await wait_while(observer_.on_piece(std::move(piece)));
+        co_return !is_over();
+    }
+    if (result_.body.size() + piece.size() > request_.body_limit) {
+        fail(call_outcome::invalid_answer, "the answer is too large");
+        co_return false;
+    }
+    result_.body += piece;
+    co_return true;
+}
+
+awaitable<void> client_call::wait_while(flow wanted)
+{
+    if (wanted == flow::go_on) {
+        co_return;
+    }
+    deadline_.clear();
+    while (!resume_pending_ && !failed_) {
+        co_await resumed_.wait();
+    }
+    resume_pending_ = false;
+}
+
+awaitable<bool> client_call::read_more()
+{
+    if (failed_) {
+        co_return false;
+    }
+    if (answer_begun_) {
+        begin(call_phase::between_bytes, request_.timeouts.between_bytes);
+    }
+    const io_result result = co_await connection_->read_some(buffer_.prepare(read_size));
+    if (result.error) {
+        fail_io(result.error, answer_begun_ ? "the answer was cut short" : "no answer");
+        co_return false;
+    }
+    buffer_.commit(result.bytes);
+    answer_begun_ = true;
+    co_return !failed_;
+}
+
+bool client_call::is_over()
+{
+    if (handle_->cancelled()) {
+        fail(call_outcome::cancelled, "cancelled");
+    }
+    return failed_;
+}
+
+void client_call::finish_connection()
+{
+    deadline_.clear();
+    result_.outcome = call_outcome::completed;
+    // Bytes beyond the answer belong to no request; the connection cannot be trusted any more.
+    if (parser_->keep_alive() && buffer_.size() == 0 && !write_failed_) {
+        core_->put(request_.address, std::move(connection_));
+    }
+}
+
+void client_call::begin(call_phase phase, std::chrono::milliseconds limit)
+{
+    result_.phase = phase;
+    deadline_.set(limit);
+}
+
+void client_call::expired()
+{
+    expired_ = true;
+    const std::string text = std::string(to_text(result_.phase)) + " took too long";
+    const bool connecting = result_.phase == call_phase::connect;
+    if (connecting) {
+        fail(call_outcome::not_sent, text);
+    }
+    else if (write_failed_) {
+        fail(call_outcome::connection_lost, "the request could not be written whole");
+    }
+    else {
+        fail(call_outcome::timed_out, text);
+    }
+    error_code ignored;
+    connecting_.close(ignored);
+    if (connection_ != nullptr) {
+        connection_->close();
+    }
+    // Idle connections to a silent address are probably silent, too.
+    core_->forget(request_.address);
+}
+
+void client_call::fail(call_outcome outcome, const std::string& reason)
+{
+    if (failed_) {
+        return;
+    }
+    failed_ = true;
+    result_.outcome = outcome;
+    result_.reason = reason;
+}
+
+void client_call::fail_io(const error_code& error, const std::string& what)
+{
+    fail(call_outcome::connection_lost, what + ": " + error.message());
+}
+
+void client_call::done()
+{
+    if (done_) {
+        return;
+    }
+    done_ = true;
+    deadline_.clear();
+    handle_->close();
+    core_->remove(shared_from_this());
+    const call_observer observer = std::exchange(observer_, {});
+    if (observer.on_done) {
+        observer.on_done(std::move(result_));
+    }
+}
+
+} // namespace gooseberryfall::http
--- /dev/null
+++ b/src/http/transport.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace gooseberryfall::http {
+
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Result of a read or a write.
+struct io_result {
+    error_code error;
+    std::size_t bytes = 0;
+};
+
+/// A TCP connection, with or without TLS. One read and one write may be pending at a time. For the
+/// loop's thread.
+class transport {
+public:
+    explicit transport(tcp::socket socket) : socket_(std::move(socket)) {}
+    virtual ~transport() = default;
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+    transport(transport&&) = delete;
+    transport& operator=(transport&&) = delete;
+
+    /// TLS handshake; nothing without TLS.
+    virtual awaitable<error_code> handshake() = 0;
+
+    virtual awaitable<io_result> read_some(boost::asio::mutable_buffer buffer) = 0;
+
+    /// Writes all bytes, or as many as counted in the result.
+    virtual awaitable<io_result> write(boost::asio::const_buffer buffer) = 0;
+
+    /// Tells the other side that nothing follows.
+    virtual awaitable<void> finish_sending() = 0;
+
+    /// Closes the socket; pending operations end with an error.
+    void close();
+
+    tcp::socket& socket() { return socket_; }
+
+protected:
+    tcp::socket socket_;
+};
+
+std::unique_ptr<transport> make_plain_transport(tcp::socket socket);
+
+/// Precondition: `context` outlives the transport.
+std::unique_ptr<transport> make_tls_server_transport(tcp::socket socket,
+                                                     boost::asio::ssl::context& context);
+
+/// `name` is what the certificate must be made for, a host name or an IP address.
+std::unique_ptr<transport> make_tls_client_transport(tcp::socket socket,
+                                                     boost::asio::ssl::context& context,
+                                                     const std::string& name);
+
+/// No delay, keep-alive probes and TCP_USER_TIMEOUT, so that a silent peer is noticed.
+void set_socket_options(tcp::socket& socket, std::chrono::milliseconds unacknowledged_max);
+
+/// Parses `ip:port` or `[ip]:port`.
+std::optional<tcp::endpoint> parse_endpoint(const std::string& address);
+
+/// Text of an endpoint, as understood by `parse_endpoint`.
+std::string endpoint_text(const tcp::endpoint& endpoint);
+
+} // namespace gooseberryfall::http
