--- a/src/daemon/decision_service.cpp
+++ b/src/daemon/decision_service.cpp
@@ -112,15 +112,15 @@
 
 decision_service::~decision_service() = default;
 
-void decision_service::configure(core::node_settings settings)
+void decision_service::configure_at_start(std::function<core::node_settings()> make_settings)
 {
     assert(!thread_);
-    settings_ = std::move(settings);
+    make_settings_ = std::move(make_settings);
 }
 
 tl::expected<void, std::string> decision_service::start(kernel::service_registry& registry)
 {
-    if (!settings_) {
+    if (!make_settings_) {
         return tl::unexpected<std::string>("the decision core has no settings");
     }
     callers_ = &registry.get<callers_service>(callers_service::name);
@@ -128,7 +128,7 @@
     peers_ = &registry.get<peers_service>(peers_service::name);
     platform_ = &registry.get<platform_service>(platform_service::name);
     targets_ = &registry.get<targets_service>(targets_service::name);
-    node_ = std::make_unique<core::node>(*settings_);
+    node_ = std::make_unique<core::node>(make_settings_());
     thread_ = std::make_unique<kernel::duty_thread>(
         name, [this](const std::stop_token& token) { run(token); });
     return {};
--- a/src/daemon/decision_service.hpp
+++ b/src/daemon/decision_service.hpp
@@ -5,6 +5,7 @@
 #include "kernel/kernel.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -31,8 +32,9 @@
     decision_service(decision_service&&) = delete;
     decision_service& operator=(decision_service&&) = delete;
 
-    /// Sets the core's settings. Precondition: not started.
-    void configure(core::node_settings settings);
+    /// Sets the function that makes the core's settings at the start, when the ports of the other
+    /// services are known. Precondition: not started.
+    void configure_at_start(std::function<core::node_settings()> make_settings);
 
     tl::expected<void, std::string> start(kernel::service_registry& registry) override;
     void stop() override;
@@ -62,7 +64,7 @@
     kernel::logger& log_;
     std::unique_ptr<counters> counters_;
     kernel::bounded_ring<core::event> ring_;
-    std::optional<core::node_settings> settings_;
+    std::function<core::node_settings()> make_settings_;
     std::unique_ptr<core::node> node_;
     std::atomic<bool> current_{false};
     std::atomic<bool> leaving_{false};
--- a/tests/wire/sample.hpp
+++ b/tests/wire/sample.hpp
@@ -124,6 +124,15 @@
 bool same(const std::variant<Kinds...>& left, const std::variant<Kinds...>& right);
 template <class Key, class Value>
 bool same(const std::map<Key, Value>& left, const std::map<Key, Value>& right);
+template <class Value>
+bool same(const std::optional<Value>& left, const std::optional<Value>& right);
+
+template <class Value>
+bool same(const std::optional<Value>& left, const std::optional<Value>& right)
+{
+    const bool both = left.has_value() && right.has_value();
+    return left.has_value() == right.has_value() && (!both || same(*left, *right));
+}
 
 template <class Value>
 bool same(const std::vector<Value>& left, const std::vector<Value>& right)
