--- a/src/core/control_state.cpp
+++ b/src/core/control_state.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// Bytes of the fixed part of one entry in a checkpoint, rounded up.
-constexpr std::size_t entry_bytes = 72;
+/// Bytes of the numbers of one entry in a checkpoint, with the list's pointer to it, at most.
+constexpr std::size_t entry_bytes = 48;
 
 std::size_t text_bytes(const std::string& text)
 {
-    // Text is stored with a pointer and padded to words.
+    // Text is stored with a pointer and a closing zero, and padded to words.
     return 16 + text.size();
 }
 
--- a/src/core/control_state.hpp
+++ b/src/core/control_state.hpp
@@ -37,7 +37,7 @@
 
     /// Bytes of a fleet's entries. A checkpoint has to fit into one append of 1 MiB beside the
     /// audit trail, members, leases, released limit levels and writer positions.
-    static constexpr std::size_t fleet_bytes_limit = 560U << 10U;
+    static constexpr std::size_t fleet_bytes_limit = 640U << 10U;
 
     /// Writers remembered that are not members. A record repeated by one that is forgotten fails
     /// on its own precondition, because each kind of record names the state that it expects.
