--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -48,8 +48,12 @@
 
 void control_log::on_read(const control_read& read, time_point now)
 {
-    if (parts_.state.next_offset() == 0 && read.earliest > 0) {
+    const bool fell_behind = parts_.state.next_offset() < read.earliest;
+    if (fell_behind) {
+        // Groups that are gone cannot be applied; the next checkpoint holds their effect.
+        parts_.state = control_state();
         parts_.state.start_at(read.earliest);
+        recent_.clear();
     }
     apply_groups(read.groups, now);
     if (parts_.state.complete()) {
@@ -84,6 +88,9 @@
         }
     }
     parts_.counters.records_ignored += all.ignored;
+    if (!parts_.state.complete()) {
+        return;
+    }
     parts_.freshness.set_applied(parts_.state.next_offset());
     if (all.any()) {
         changed_(all, now);
--- a/src/daemon/peers_service.hpp
+++ b/src/daemon/peers_service.hpp
@@ -26,7 +26,7 @@
     void stop() override;
 
     /// Port that other instances connect to. Precondition: started.
-    std::uint16_t port() const;
+    std::uint16_t port() const { return port_; }
 
     /// Sends messages; they may be lost. Thread-safe.
     void send(core::send_peer& what);
@@ -37,6 +37,7 @@
     kernel::counter& dropped_;
     kernel::counter& received_;
     std::unique_ptr<peers::peer_network> network_;
+    std::uint16_t port_ = 0;
 };
 
 } // namespace gooseberryfall::daemon
--- /dev/null
+++ b/src/peers/peers.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+/// Public header of the messages between instances.
+
+#include "peers/peer_network.hpp"
