--- /dev/null
+++ b/tests/cli/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(cli gooseberryfall_cli)
