wire: carry the share of a portion that is left

Cause: limit_grant names the share in place of a flag since the limits' last change. Ruled out: nothing else.

--- a/src/wire/envelope_conversion.cpp
+++ b/src/wire/envelope_conversion.cpp
@@ -101,7 +101,7 @@
     value.grant = reader.getGrant();
     value.tokens = read_number(reader.getTokens());
     value.owner = reader.getOwner();
-    value.plentiful = reader.getPlentiful();
+    value.left = read_number(reader.getLeft());
     value.next_token = std::chrono::nanoseconds(reader.getNextTokenNs());
     return value;
 }
@@ -301,7 +301,7 @@
         to.setGrant(value.grant);
         to.setTokens(value.tokens);
         to.setOwner(value.owner);
-        to.setPlentiful(value.plentiful);
+        to.setLeft(value.left);
         to.setNextTokenNs(std::chrono::nanoseconds(value.next_token).count());
     }
 
--- a/src/wire/gooseberryfall.capnp
+++ b/src/wire/gooseberryfall.capnp
@@ -373,7 +373,7 @@
   tokens @3 :Float64;
   owner @4 :Bool;
   nextTokenNs @5 :Int64;
-  plentiful @6 :Bool;
+  left @6 :Float64;
 }
 
 struct CapacityReport {
