--- a/src/wire/control_conversion.cpp
+++ b/src/wire/control_conversion.cpp
@@ -63,6 +63,8 @@
     value.portion = reader.getPortion();
     value.level = read_number(reader.getLevel());
     value.outstanding = read_number(reader.getOutstanding());
+    value.rate = read_number(reader.getRate());
+    value.burst = read_number(reader.getBurst());
     return value;
 }
 
@@ -72,6 +74,8 @@
     builder.setPortion(value.portion);
     builder.setLevel(value.level);
     builder.setOutstanding(value.outstanding);
+    builder.setRate(value.rate);
+    builder.setBurst(value.burst);
 }
 
 std::vector<core::limit_level> read(capnp::List<schema::LimitLevel>::Reader list)
--- a/src/wire/gooseberryfall.capnp
+++ b/src/wire/gooseberryfall.capnp
@@ -118,6 +118,8 @@
   portion @1 :UInt32;
   level @2 :Float64;
   outstanding @3 :Float64;
+  rate @4 :Float64;
+  burst @5 :Float64;
 }
 
 struct ConfigChange {
--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -274,7 +274,7 @@
 process_deployment::command(std::uint32_t instance, const std::vector<std::string>& arguments) const
 {
     std::vector<std::string> all{"--instance=" + operators(instance),
-                                 "--token_file=" + write_file("token", token)};
+                                 "--token_file=" + write_file("token", token), "--author=tester"};
     all.insert(all.end(), arguments.begin(), arguments.end());
     return run_program(GOOSEBERRYFALL_COMMAND, all);
 }
--- /dev/null
+++ b/tests/process/tests.cmake
@@ -0,0 +1,19 @@
+add_library(process_test_support STATIC ${CMAKE_CURRENT_LIST_DIR}/child_process.cpp
+    ${CMAKE_CURRENT_LIST_DIR}/process_deployment.cpp)
+target_include_directories(process_test_support PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
+target_link_libraries(process_test_support PUBLIC gooseberryfall_http gooseberryfall_config Boost::json)
+target_compile_definitions(process_test_support PRIVATE
+    GOOSEBERRYFALL_PLATFORM="$<TARGET_FILE:platform_stand_in>"
+    GOOSEBERRYFALL_FAULT_PROXY="$<TARGET_FILE:fault_proxy_stand_in>"
+    GOOSEBERRYFALL_ENGINE="$<TARGET_FILE:engine_stand_in>"
+    GOOSEBERRYFALL_DAEMON="$<TARGET_FILE:gooseberryfalld>"
+    GOOSEBERRYFALL_COMMAND="$<TARGET_FILE:gooseberryfall>")
+add_dependencies(process_test_support platform_stand_in fault_proxy_stand_in engine_stand_in
+    gooseberryfalld gooseberryfall)
+add_tests(process process_test_support)
+# A deployment of many processes loads the machine; two at once would distort each other's timing.
+file(GLOB process_sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_LIST_DIR}/*_test.cpp)
+foreach(source ${process_sources})
+    get_filename_component(name ${source} NAME_WE)
+    set_tests_properties(process_${name} PROPERTIES RUN_SERIAL TRUE TIMEOUT 300)
+endforeach()
