--- a/src/core/batch_partition.cpp
+++ b/src/core/batch_partition.cpp
@@ -244,7 +244,7 @@
     for (const auto& [id, work] : work_) {
         const batch_job* job = replay_.find(id);
         if (active() && job->service == service) {
-            count += job->items.size() - job->succeeded - job->failed - work.busy;
+            count += job->open_items() - work.running - work.unwritten;
         }
     }
     return count;
@@ -570,8 +570,10 @@
         work.cleared.insert(index);
         break;
     case work_phase::running:
+        ++work.running;
+        break;
     case work_phase::unwritten:
-        ++work.busy;
+        ++work.unwritten;
         break;
     }
 }
@@ -590,8 +592,10 @@
         work.cleared.erase(index);
         break;
     case work_phase::running:
+        --work.running;
+        break;
     case work_phase::unwritten:
-        --work.busy;
+        --work.unwritten;
         break;
     }
 }
@@ -649,7 +653,7 @@
                             "the answer is too large to be kept");
     }
     set_phase(work, index, work_phase::unwritten);
-    work.items[index].resume = {};
+    work.items[index].resume = std::string();
     unwritten_bytes_ += body.size() + record_overhead;
     results_due_.push_back({id, index, status, std::move(body)});
     refresh(job, work);
@@ -729,7 +733,11 @@
         const job_id id = *snapshots_due_.begin();
         snapshots_due_.erase(snapshots_due_.begin());
         const auto stray = replay_.strays().find(id);
-        if (const batch_job* job = replay_.find(id)) {
+        const batch_job* job = replay_.find(id);
+        if (job != nullptr && is_ending(id, *job)) {
+            snapshots_asked_.erase(id);
+        }
+        else if (job != nullptr) {
             job_snapshot snapshot = snapshot_of(*own_epoch_, id, *job);
             if (is_expired(*job, wall)) {
                 // Also ends what a late reader takes for a job that was opened later.
@@ -805,6 +813,8 @@
     if (wall - replay_.partition_opened_at() > settings_.log_retention / 2) {
         opening_due_ = true;
     }
+    std::erase_if(snapshots_asked_,
+                  [wall](const auto& entry) { return wall - entry.second > snapshot_patience; });
     for (const auto& [id, job] : replay_.jobs()) {
         if (needs_snapshot(job, wall)) {
             ask_snapshot(id, wall);
@@ -817,9 +827,7 @@
 
 void batch_partition::ask_snapshot(const job_id& id, wall_time wall)
 {
-    const auto asked = snapshots_asked_.find(id);
-    if (asked == snapshots_asked_.end() || wall - asked->second > snapshot_patience) {
-        snapshots_asked_[id] = wall;
+    if (snapshots_asked_.emplace(id, wall).second) {
         snapshots_due_.insert(id);
     }
 }
@@ -829,14 +837,19 @@
     return job.ended_at && *job.ended_at + settings_.result_retention < wall;
 }
 
+bool batch_partition::is_ending(const job_id& id, const batch_job& job) const
+{
+    const auto work = work_.find(id);
+    return work != work_.end() && work->second.unwritten == job.open_items();
+}
+
 bool batch_partition::needs_snapshot(const batch_job& job, wall_time wall) const
 {
     if (job.ended_at) {
         const wall_time expiry = *job.ended_at + settings_.result_retention;
         if (expiry < wall) {
-            // See `batch_job::needs_closing`. Without that mark the job is forgotten without a
-            // record.
-            return job.needs_closing;
+            // Without a misleading record the job is forgotten by time alone.
+            return job.misleading_at.has_value();
         }
         // A job that is forgotten well before its first records leave the log is not carried.
         if (expiry < job.anchored_at + settings_.log_retention * 3 / 4) {
--- a/src/core/batch_partition.hpp
+++ b/src/core/batch_partition.hpp
@@ -197,8 +197,9 @@
         std::map<std::uint32_t, item_work> items;
         std::set<std::uint32_t> waiting;
         std::set<std::uint32_t> cleared;
-        /// Items that run or whose result is to be read back.
-        std::uint32_t busy = 0;
+        std::uint32_t running = 0;
+        /// Items whose result is to be read back.
+        std::uint32_t unwritten = 0;
     };
     struct unwritten_result {
         job_id job;
@@ -251,6 +252,8 @@
     void plan_snapshots(wall_time wall);
     void ask_snapshot(const job_id& id, wall_time wall);
     bool is_expired(const batch_job& job, wall_time wall) const;
+    /// Whether the last results of a job are on their way to the log.
+    bool is_ending(const job_id& id, const batch_job& job) const;
     bool needs_snapshot(const batch_job& job, wall_time wall) const;
     /// Phase of an item that this holder has begun with.
     std::optional<work_phase> phase_of(const item_name& item) const;
--- a/src/core/batch_replay.cpp
+++ b/src/core/batch_replay.cpp
@@ -73,8 +73,8 @@
     hash.add(id.value());
     hash.add(job.team.value());
     hash.add(job.service.value());
-    hash.add((job.options.repeatable ? 1U : 0U) | (job.cancelled ? 2U : 0U) |
-             (job.needs_closing ? 4U : 0U));
+    // `misleading_at` is left out: it may refer to a record that has left the log.
+    hash.add((job.options.repeatable ? 1U : 0U) | (job.cancelled ? 2U : 0U));
     hash.add(job.options.max_tokens);
     hash.add(std::string(job.content.begin(), job.content.end()));
     hash.add(static_cast<std::uint64_t>(job.opened_at.time_since_epoch().count()));
@@ -148,12 +148,12 @@
     // Red-black tree nodes carry three pointers and a colour beside their value.
     constexpr std::size_t node_overhead = 32;
     constexpr std::size_t id_bytes = 48;
-    std::size_t bytes = sizeof *this;
+    std::size_t bytes = sizeof(batch_replay);
     for (const auto& [id, job] : jobs_) {
-        bytes += sizeof id + sizeof job + node_overhead + id_bytes + job.items.memory();
+        bytes += sizeof(job_id) + sizeof(batch_job) + node_overhead + id_bytes + job.items.memory();
     }
     for (const auto& [id, upload] : uploads_) {
-        bytes += 2 * sizeof id + sizeof upload + node_overhead + upload.items.memory();
+        bytes += 2 * id_bytes + sizeof(upload_state) + node_overhead + upload.items.memory();
     }
     return bytes +
            writers_.size() * (sizeof(incarnation_id) + sizeof(writer_state) + node_overhead);
@@ -192,7 +192,7 @@
     while (next != ended_jobs_.end() && next->first + settings_.result_retention < log_time_) {
         const auto job = jobs_.find(next->second);
         ++next;
-        if (!job->second.needs_closing) {
+        if (!job->second.misleading_at) {
             forget(job);
         }
     }
@@ -238,12 +238,12 @@
 {
     const auto* open = std::get_if<job_open>(&body);
     const auto* snapshot = std::get_if<job_snapshot>(&body);
-    if (open == nullptr && snapshot == nullptr) {
+    if (open == nullptr && (snapshot == nullptr || is_closing(*snapshot))) {
         return;
     }
     const job_id& id = open != nullptr ? open->job : snapshot->job;
     if (const auto known = jobs_.find(id); known != jobs_.end()) {
-        known->second.needs_closing = true;
+        known->second.misleading_at = log_time_;
     }
     else if (snapshot != nullptr || repeated) {
         strays_[id] = log_time_;
@@ -299,7 +299,11 @@
     job.opened_at = log_time_;
     job.anchored_at = upload.started_at;
     job.items = std::move(upload.items);
-    job.needs_closing = strays_.erase(body.job) > 0;
+    job.items.shrink();
+    if (const auto stray = strays_.find(body.job); stray != strays_.end()) {
+        job.misleading_at = stray->second;
+        strays_.erase(stray);
+    }
     const auto added = jobs_.emplace(body.job, std::move(job)).first;
     note(batch_change::change_kind::job_opened, body.job);
     settle(added);
@@ -351,14 +355,14 @@
         return false;
     }
     auto found = jobs_.find(body.job);
-    if (body.ended_at && *body.ended_at + settings_.result_retention < log_time_) {
+    if (is_closing(body)) {
         return close_job(body);
     }
     if (found == jobs_.end()) {
         found = jobs_.emplace(body.job, batch_job{}).first;
     }
     batch_job& job = found->second;
-    if ((job.cancelled && !body.cancelled) || (job.ended_at && !body.ended_at)) {
+    if (job.cancelled && !body.cancelled) {
         return false;
     }
     if (job.items.size() != body.item_count || job.content != body.content) {
@@ -372,16 +376,14 @@
     job.options = body.options;
     job.content = body.content;
     job.cancelled = body.cancelled;
-    job.needs_closing = false;
+    job.misleading_at.reset();
     job.opened_at = body.opened_at;
     job.anchored_at = log_time_;
     job.anchor = position;
     job.uncarried = body.item_count;
     job.items.begin_snapshot();
     note(batch_change::change_kind::job_anchored, body.job);
-    if (body.ended_at) {
-        set_ended(found, *body.ended_at);
-    }
+    set_ended(found, body.ended_at);
     settle(found);
     return true;
 }
@@ -426,14 +428,29 @@
     return epoch == highest_epoch_;
 }
 
+bool batch_replay::is_closing(const job_snapshot& body) const
+{
+    return body.ended_at && *body.ended_at + settings_.result_retention < log_time_;
+}
+
 bool batch_replay::close_job(const job_snapshot& body)
 {
-    const bool stray = strays_.erase(body.job) > 0;
+    // Neither a job that was opened after the record was written is forgotten, nor one for which a
+    // further misleading record was appended in the meantime.
     const auto job = jobs_.find(body.job);
-    if (job == jobs_.end() || job->second.opened_at > body.opened_at) {
-        return stray;
+    if (job != jobs_.end()) {
+        const bool covers = job->second.opened_at <= body.opened_at &&
+                            job->second.misleading_at.value_or(wall_time()) <= body.opened_at;
+        if (covers) {
+            forget(job);
+        }
+        return covers;
+    }
+    const auto stray = strays_.find(body.job);
+    if (stray == strays_.end() || stray->second > body.opened_at) {
+        return false;
     }
-    forget(job);
+    strays_.erase(stray);
     return true;
 }
 
@@ -458,23 +475,33 @@
 bool batch_replay::set_carried_body(batch_job& job, const carried_items::item& item,
                                     const body_position& place)
 {
-    // A result counts even if the holder read the body before it.
-    if (item.index >= job.items.size() || job.items.ended(item.index)) {
+    if (item.index >= job.items.size()) {
         return false;
     }
-    job.uncarried -= job.items.is_before(item.index, job.anchor) ? 1 : 0;
+    const bool uncarried = job.items.is_before(item.index, job.anchor);
+    if (job.items.ended(item.index)) {
+        // The item ended after its body was read, or it never did: a reader that starts late may
+        // have counted a result of an outdated epoch.
+        if (!uncarried) {
+            return false;
+        }
+        --(job.items.state(item.index) == item_state::succeeded ? job.succeeded : job.failed);
+    }
+    job.uncarried -= uncarried ? 1 : 0;
     job.items.set_body(item.index, place, hash_of_body(item.body), item.attempted);
     return true;
 }
 
-void batch_replay::set_ended(job_iterator job, wall_time at)
+void batch_replay::set_ended(job_iterator job, std::optional<wall_time> at)
 {
     if (job->second.ended_at) {
         ended_jobs_.erase({*job->second.ended_at, job->first});
     }
     job->second.ended_at = at;
-    job->second.items.release_hashes();
-    ended_jobs_.emplace(at, job->first);
+    if (at) {
+        job->second.items.release_hashes();
+        ended_jobs_.emplace(*at, job->first);
+    }
 }
 
 void batch_replay::settle(job_iterator job)
--- a/src/core/batch_replay.hpp
+++ b/src/core/batch_replay.hpp
@@ -32,11 +32,12 @@
     job_options options;
     digest content{};
     bool cancelled = false;
-    /// Whether an opening record or a snapshot was ignored since the last snapshot. It would have
-    /// an effect for a reader that starts between it and the record that made it ineffective: that
-    /// reader takes a second opening for a new job and runs its items again. Such a job is
-    /// therefore forgotten by a snapshot record only, which ends what such a reader made up.
-    bool needs_closing = false;
+    /// Time of the last opening record or snapshot that was ignored since the last snapshot. It
+    /// would have an effect for a reader that starts between it and the record that made it
+    /// ineffective: that reader takes a second opening for a new job and runs its items again. Such
+    /// a job is therefore forgotten by a snapshot record only, which ends what such a reader made
+    /// up.
+    std::optional<wall_time> misleading_at;
     wall_time opened_at;
     std::optional<wall_time> ended_at;
     /// Time of the oldest record that the job needs, if it has been carried whole since then.
@@ -49,7 +50,9 @@
     std::uint32_t failed = 0;
     item_table items;
 
-    bool all_ended() const { return succeeded + failed == items.size(); }
+    /// Items without a result.
+    std::uint32_t open_items() const { return items.size() - succeeded - failed; }
+    bool all_ended() const { return open_items() == 0; }
 
     /// Whether nothing of the job will run any more.
     bool ended() const { return cancelled || all_ended(); }
@@ -79,8 +82,10 @@
 /// How carrying forward keeps this true: a snapshot makes all that is known of a job's items
 /// subject to replacement by `carried_items` and `carried_results`. For a reader that saw all
 /// records the replacement says the same with a later place; a reader that started late learns what
-/// it missed and gives up what it judged wrongly. A snapshot that was written in ignorance of a
-/// cancellation or of the job's end has no effect.
+/// it missed and gives up what it judged wrongly, for example a result of an outdated epoch whose
+/// successor's opening it did not see. A snapshot that was written in ignorance of a cancellation
+/// has no effect. The holder keeps two rules in return: it carries no body of an item whose result
+/// is on its way, and it writes no snapshot of a job whose last results are.
 class batch_replay {
 public:
     explicit batch_replay(replay_settings settings);
@@ -107,7 +112,7 @@
 
     /// Unknown jobs of which an opening record or a snapshot was ignored, with the time of that
     /// record. A reader that starts late may take the record for a job. A snapshot whose end is
-    /// past the retention ends that, for jobs opened at or before the snapshot's `opened_at`.
+    /// past the retention ends that; its `opened_at` is the time up to which it covers records.
     const std::map<job_id, wall_time>& strays() const { return strays_; }
 
     /// A job, or null. Valid until the next `apply`.
@@ -159,12 +164,14 @@
 
     /// Whether the epoch is not outdated.
     bool admit(lease_epoch epoch);
+    /// Whether a snapshot is one that makes its job forgotten.
+    bool is_closing(const job_snapshot& body) const;
     bool close_job(const job_snapshot& body);
     void set_result(job_iterator job, std::uint32_t index, const body_position& place,
                     item_status status);
     bool set_carried_body(batch_job& job, const carried_items::item& item,
                           const body_position& place);
-    void set_ended(job_iterator job, wall_time at);
+    void set_ended(job_iterator job, std::optional<wall_time> at);
     /// Ends the job once all of its items are known and have ended.
     void settle(job_iterator job);
     void note(batch_change::change_kind kind, const job_id& job, std::uint32_t index = 0);
--- a/src/core/item_table.cpp
+++ b/src/core/item_table.cpp
@@ -84,9 +84,8 @@
 {
     set_place(index, body);
     set_state(index, item_state::pending);
-    if (!hashes_.empty()) {
-        hashes_[index] = body_hash;
-    }
+    hashes_.resize(states_.size());
+    hashes_[index] = body_hash;
     std::uint8_t& flags = states_[index];
     flags = static_cast<std::uint8_t>(attempted ? flags | attempted_flag : flags & ~attempted_flag);
 }
@@ -112,7 +111,16 @@
 
 void item_table::release_hashes()
 {
-    hashes_ = {};
+    hashes_.clear();
+    hashes_.shrink_to_fit();
+}
+
+void item_table::shrink()
+{
+    positions_.shrink_to_fit();
+    indexes_.shrink_to_fit();
+    states_.shrink_to_fit();
+    hashes_.shrink_to_fit();
 }
 
 std::size_t item_table::memory() const
--- a/src/core/item_table.hpp
+++ b/src/core/item_table.hpp
@@ -63,6 +63,9 @@
     /// Frees the hashes, which only items that will run need.
     void release_hashes();
 
+    /// Frees the reserve for further items.
+    void shrink();
+
     /// Bytes of memory taken.
     std::size_t memory() const;
 
