core: test limits under failures and compare four ways

Cause: the bound on a team's tokens and the refusals of callers within it were shown by single cases only. Change: a simulation of ten instances with lost, repeated and late messages, deaths, freezes, cuts, hand-over and limit changes, used by property tests and bench/limits_bench. Answers name the share left in place of a plentiful flag, limit_level has rate and burst, portions have at least 32 tokens. The case on a changed number of portions uses larger limits, since smaller ones are not divided any more. docs/limits.md; section 5 of the design page.

--- a/src/core/limit_client.cpp
+++ b/src/core/limit_client.cpp
@@ -1,7 +1,5 @@
 #include "core/limit_client.hpp"
 
-#include "core/limit_owner.hpp"
-
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -32,6 +30,12 @@
 /// Wait before tokens are borrowed ahead again after the owner kept its own.
 constexpr std::chrono::milliseconds ahead_backoff{100};
 
+/// Share of a portion's burst from which on its tokens are plentiful.
+constexpr double plentiful_share = 0.5;
+
+/// Steps in which portions count as equally full.
+constexpr double fullness_steps = 8;
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -82,7 +86,7 @@
         }
         entry.limits = limits;
         const auto before = static_cast<std::uint32_t>(entry.portions.size());
-        const std::uint32_t count = portion_count(limits);
+        const std::uint32_t count = portion_count(limits, settings_.division);
         // Portions that are gone stay listed: their grants are valid until they expire.
         entry.portions.resize(std::max(before, count));
         for (std::uint32_t portion = before; portion < count; ++portion) {
@@ -302,7 +306,8 @@
         return;
     }
     const auto portion = choose_portion(work);
-    if (!portion || work.is_local(*portion) || !entry.portions[*portion].plentiful) {
+    if (!portion || work.is_local(*portion) ||
+        share_left(entry, *portion, work.now) < plentiful_share) {
         return;
     }
     if (work.reached(entry.portions[*portion].ahead_at)) {
@@ -310,21 +315,37 @@
     }
 }
 
-/// Portion to ask next: local owners first, then those likely to have tokens.
+/// Share of the portion's burst that the owner should have by now.
+double limit_client::share_left(const team_state& entry, std::uint32_t portion,
+                                time_point now) const
+{
+    const portion_state& state = entry.portions[portion];
+    const portion_limits limits = limits_of(entry.limits, portion, settings_.division);
+    if (limits.burst <= 0) {
+        return 0;
+    }
+    const double minted = limits.rate * seconds(now - state.left_at) / limits.burst;
+    return std::clamp(state.left + minted, 0.0, 1.0);
+}
+
+/// Portion to ask next: the fullest ones first, since a full portion mints nothing while another is
+/// empty; among them those of local owners.
 std::optional<std::uint32_t> limit_client::choose_portion(round& work) const
 {
     team_state& entry = work.entry;
-    const std::uint32_t count = portion_count(entry.limits);
+    const std::uint32_t count = portion_count(entry.limits, settings_.division);
     std::optional<std::uint32_t> chosen;
-    std::tuple<bool, bool, bool> lowest;
+    std::tuple<bool, int, bool> lowest;
     for (std::uint32_t step = 0; step < count; ++step) {
         const std::uint32_t portion = (entry.first_portion + step) % count;
         const portion_state& state = entry.portions[portion];
         if (state.question || !work.reached(state.retry_at)) {
             continue;
         }
-        const std::tuple<bool, bool, bool> order{work.now < state.slow_until,
-                                                 !work.is_local(portion), !state.plentiful};
+        const int fullness =
+            static_cast<int>(share_left(entry, portion, work.now) * fullness_steps);
+        const std::tuple<bool, int, bool> order{work.now < state.slow_until, -fullness,
+                                                !work.is_local(portion)};
         if (!chosen || order < lowest) {
             chosen = portion;
             lowest = order;
@@ -355,7 +376,7 @@
 /// it, because the next request may need what is minted in place of the spent token.
 duration limit_client::refund_time(const team_state& entry, std::uint32_t portion) const
 {
-    const double rate = limits_of(entry.limits, portion).rate;
+    const double rate = limits_of(entry.limits, portion, settings_.division).rate;
     if (rate <= 0) {
         return settings_.refund_time;
     }
@@ -372,8 +393,8 @@
         return true;
     }
     if (!grant.unreported.empty()) {
-        const portion_state& state = work.entry.portions[grant.portion];
-        const bool patient = state.plentiful && !work.is_local(grant.portion);
+        const bool patient = !work.is_local(grant.portion) &&
+                             work.entry.portions[grant.portion].left >= plentiful_share;
         const duration wait =
             patient ? settings_.plentiful_report_time : refund_time(work.entry, grant.portion);
         if (work.reached(grant.unreported.front().at + wait)) {
@@ -460,7 +481,8 @@
     touch(entry, now);
     portion_state& state = entry.portions[grant.portion];
     if (grant.owner) {
-        state.plentiful = grant.plentiful;
+        state.left = std::isfinite(grant.left) ? grant.left : 0.0;
+        state.left_at = now;
         confirm_reports(entry, grant);
     }
     if (!state.question || state.question->grant != grant.grant) {
@@ -470,7 +492,8 @@
     state.question.reset();
     state.no_owner = !grant.owner;
     if (!grant.owner) {
-        state.plentiful = false;
+        state.left = 0;
+        state.left_at = now;
         state.retry_at = now + settings_.empty_backoff;
         return false;
     }
@@ -508,7 +531,7 @@
         return result;
     }
     const team_state& entry = found->second;
-    const std::uint32_t count = portion_count(entry.limits);
+    const std::uint32_t count = portion_count(entry.limits, settings_.division);
     result.exhausted = true;
     // An open question may bring a token at any time.
     bool known = true;
@@ -535,7 +558,7 @@
         return {};
     }
     std::vector<shard_id> result;
-    const std::uint32_t count = portion_count(found->second.limits);
+    const std::uint32_t count = portion_count(found->second.limits, settings_.division);
     for (std::uint32_t portion = 0; portion < count; ++portion) {
         result.push_back(found->second.portions[portion].shard);
     }
--- a/src/core/limit_client.hpp
+++ b/src/core/limit_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/fleet.hpp"
+#include "core/limit_owner.hpp"
 #include "core/messages.hpp"
 #include "core/types.hpp"
 
@@ -17,6 +18,7 @@
 struct limit_client_settings {
     incarnation_id self;
     std::uint32_t limit_shards = 32;
+    limit_portioning division;
     /// Lifetime of a grant from the question on.
     duration grant_lifetime = std::chrono::seconds(1);
     /// Time after which an unanswered question is given up.
@@ -31,7 +33,7 @@
     /// refunded: a target's refusal comes within it.
     duration refund_time = std::chrono::milliseconds(20);
     /// Time after which spends are reported by a message of their own while tokens are plentiful.
-    duration plentiful_report_time = std::chrono::milliseconds(100);
+    duration plentiful_report_time = std::chrono::milliseconds(150);
 };
 
 /// One token, taken out of a grant.
@@ -84,8 +86,9 @@
     /// Says that `waiting` requests of the team lack a token.
     void want(const team_id& team, std::uint32_t waiting, time_point now);
 
-    /// Questions that are due, and reports of grants that are spent, expired or idle. Portions
-    /// whose shard is in `local` are asked first, as they cost no message. Every question must be
+    /// Questions that are due, and reports of grants that are spent, expired or idle. Of
+    /// portions that are about as full, those whose shard is in `local` are asked first, as they
+    /// cost no message. Every question must be
     /// sent or answered; a lost one is repeated.
     std::vector<limit_question> questions(const std::set<shard_id>& local, time_point now);
 
@@ -152,8 +155,9 @@
         time_point slow_until;
         bool empty = false;
         bool no_owner = false;
-        /// Whether the owner had tokens to spare at its last answer; assumed before the first.
-        bool plentiful = true;
+        /// Share of the burst that was left at the owner's last answer; all of it before the first.
+        double left = 1;
+        time_point left_at;
         /// When a token is expected, if the owner knows.
         std::optional<time_point> next_token_at;
     };
@@ -182,6 +186,7 @@
     std::optional<std::uint32_t> choose_portion(round& work) const;
     void open(round& work, std::uint32_t portion, double wanted, double ahead);
     duration refund_time(const team_state& entry, std::uint32_t portion) const;
+    double share_left(const team_state& entry, std::uint32_t portion, time_point now) const;
     void confirm_reports(team_state& entry, const limit_grant& answer) const;
     bool report_due(round& work, const grant_state& grant) const;
     void add_messages(round& work);
--- a/src/core/limit_owner.cpp
+++ b/src/core/limit_owner.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-/// Tokens of burst, and of rate per second, that a portion has at least when there are several.
-constexpr double tokens_for_portion = 8.0;
-constexpr double max_portions = 4.0;
-
 /// Level below a whole token that still counts as whole: sums of products have rounding errors.
 constexpr double rounding = 1e-9;
 
+/// Time over which borrowers without a token are spread. A request asks several portions and takes
+/// a token from one, so that a longer queue would name waits that are too long.
+constexpr std::chrono::milliseconds longest_queue{20};
+
 /// Time for which the last number of a borrower is kept. A repeat that arrives later holds tokens
 /// back until its grant expires, but creates none.
 constexpr std::chrono::seconds number_retention{60};
@@ -39,15 +39,17 @@
 
 } // namespace
 
-std::uint32_t portion_count(const team& limits)
+std::uint32_t portion_count(const team& limits, const limit_portioning& division)
 {
-    const double portions = std::min(limits.burst, limits.rate) / tokens_for_portion;
-    return static_cast<std::uint32_t>(std::clamp(portions, 1.0, max_portions));
+    const double portions = std::min(limits.burst, limits.rate) / division.least_tokens;
+    return static_cast<std::uint32_t>(
+        std::clamp(portions, 1.0, static_cast<double>(division.most_portions)));
 }
 
-portion_limits limits_of(const team& limits, std::uint32_t portion)
+portion_limits limits_of(const team& limits, std::uint32_t portion,
+                         const limit_portioning& division)
 {
-    const std::uint32_t portions = portion_count(limits);
+    const std::uint32_t portions = portion_count(limits, division);
     if (portion >= portions) {
         return {};
     }
@@ -103,7 +105,7 @@
 {
     known_team& known = teams_[limits.id];
     known.limits = limits;
-    known.portions = portion_count(limits);
+    known.portions = portion_count(limits, settings_.division);
     // A team that appears before this instance is informed may have been removed just before.
     const bool fresh = now >= *informed_at_;
     known.settled_at = fresh ? now : *informed_at_;
@@ -114,7 +116,7 @@
         }
         bucket& account = buckets_[key];
         account.refilled_at = now;
-        set_limits(account, known, limits_of(limits, portion), now);
+        set_limits(account, known, limits_of(limits, portion, settings_.division), now);
         account.level = fresh ? account.burst : 0.0;
     }
 }
@@ -123,7 +125,7 @@
 {
     const std::uint32_t before = known.portions;
     known.limits = limits;
-    known.portions = portion_count(limits);
+    known.portions = portion_count(limits, settings_.division);
     known.forget_at.reset();
     if (known.portions != before) {
         known.settled_at = now + settings_.raise_delay;
@@ -137,7 +139,7 @@
         if (inserted) {
             position->second.refilled_at = now;
         }
-        set_limits(position->second, known, limits_of(limits, portion), now);
+        set_limits(position->second, known, limits_of(limits, portion, settings_.division), now);
     }
 }
 
@@ -196,9 +198,10 @@
             }
             account.level = sanitized(start.level);
             // While the owners of other portions may use other shares, this one must not exceed
-            // what its last owner handed over.
-            account.burst = account.level + outstanding;
-            set_limits(account, known, limits_of(known.limits, portion), now);
+            // what its last owner used.
+            account.rate = sanitized(start.rate);
+            account.burst = sanitized(start.burst);
+            set_limits(account, known, limits_of(known.limits, portion, settings_.division), now);
         }
     }
 }
@@ -220,8 +223,9 @@
             continue;
         }
         refill(account, now);
-        if (account.level > 0 || account.outstanding > 0) {
-            result.push_back({key.team, key.portion, account.level, account.outstanding});
+        if (account.burst > 0 || account.outstanding > 0) {
+            result.push_back({key.team, key.portion, account.level, account.outstanding,
+                              account.rate, account.burst});
         }
     }
     return result;
@@ -266,7 +270,9 @@
             answer.next_token = announce(account, now);
         }
     }
-    answer.plentiful = account.level >= half;
+    if (account.burst > 0) {
+        answer.left = std::clamp(account.level / account.burst, 0.0, 1.0);
+    }
     return answer;
 }
 
@@ -410,7 +416,7 @@
     const duration interval = to_duration(1 / account.rate);
     const duration ready = to_duration(std::max(0.0, 1 - account.level) / account.rate);
     const duration queued = account.announced_until + interval - now;
-    const duration latest = std::max(ready, settings_.grant_lifetime);
+    const duration latest = std::max<duration>(ready, longest_queue);
     const duration delay = std::clamp(queued, ready, latest);
     account.announced_until = now + delay;
     return delay;
--- a/src/core/limit_owner.hpp
+++ b/src/core/limit_owner.hpp
@@ -13,10 +13,17 @@
 
 namespace gooseberryfall::core {
 
-/// Portions of a team's limit: clamp(min(burst, rate) / 8, 1, 4). A portion thus mints a token at
-/// least every 125 ms, so that a token whose fractions lie in several portions is waited for and
-/// not refused. Thread-safe.
-std::uint32_t portion_count(const team& limits);
+/// How limits are divided into portions. The same on every instance of a deployment.
+struct limit_portioning {
+    /// Tokens of burst, and of rate per second, that a portion has at least when there are several.
+    /// Small portions refuse callers within their limit, because fractions of a token lie in each
+    /// and a full one mints nothing while another is empty (docs/limits.md).
+    double least_tokens = 32;
+    std::uint32_t most_portions = 4;
+};
+
+/// Portions of a team's limit: clamp(min(burst, rate) / 32, 1, 4) by default. Thread-safe.
+std::uint32_t portion_count(const team& limits, const limit_portioning& division = {});
 
 /// Rate and burst of one portion.
 struct portion_limits {
@@ -28,7 +35,8 @@
 
 /// Limits of a portion; 0 if the team has no such portion. Bursts are split in whole tokens, so
 /// that the whole burst can be spent at once. Thread-safe.
-portion_limits limits_of(const team& limits, std::uint32_t portion);
+portion_limits limits_of(const team& limits, std::uint32_t portion,
+                         const limit_portioning& division = {});
 
 /// Limit shard that a portion belongs to. Precondition: `limit_shards` is above 0. Thread-safe.
 shard_id portion_shard(const team_id& team, std::uint32_t portion, std::uint32_t limit_shards);
@@ -36,6 +44,7 @@
 /// Settings of `limit_owner`.
 struct limit_owner_settings {
     std::uint32_t limit_shards = 32;
+    limit_portioning division;
     /// Lifetime of a grant at the borrower, from its question on.
     duration grant_lifetime = std::chrono::seconds(1);
     /// Added to the lifetime at the owner for differences between clocks.
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -97,8 +97,8 @@
     /// Whether the sender owns the portion and may act. If not, the borrower looks the owner up
     /// again.
     bool owner = true;
-    /// Whether at least half of the portion's burst is left, so that spends need no early report.
-    bool plentiful = false;
+    /// Share of the portion's burst that is left, between 0 and 1.
+    double left = 0;
     /// When a token will be there, as a delay; used for Retry-After.
     duration next_token{};
 };
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -58,6 +58,10 @@
     double level = 0;
     /// Tokens lent and not yet reported as spent.
     double outstanding = 0;
+    /// Rate and burst in force at the last owner. A new owner that cannot know of recent changes
+    /// does not exceed them at first.
+    double rate = 0;
+    double burst = 0;
 
     bool operator==(const limit_level&) const = default;
 };
--- a/tests/core/limits_test.cpp
+++ b/tests/core/limits_test.cpp
@@ -1,9 +1,11 @@
 #include "core/limit_client.hpp"
 #include "core/limit_owner.hpp"
 
+#include "limit_simulation.hpp"
+
 #include <criterion/criterion.h>
 
-#include <set>
+#include <cstdio>
 #include <vector>
 
 namespace core = gooseberryfall::core;
@@ -156,7 +158,7 @@
     core::limit_owner owner{{}};
     owner.set_fleet(make_fleet(100, 15), at(0));
     const auto shard = core::portion_shard(namur, 0, 32);
-    owner.acquire(shard, {{namur, 0, 2, 1}}, at(500));
+    owner.acquire(shard, {{namur, 0, 2, 1, 0, 3}}, at(500));
     cr_assert_eq(owner.lend(borrower_a, ask(1, 15), at(3000)).tokens, 2.0);
     cr_assert_eq(owner.lend(borrower_a, ask(2, 15), at(3500)).tokens, 13.0);
 }
@@ -165,11 +167,11 @@
 // are in use together.
 Test(limit_owner, raised_portions_wait_when_their_number_changes)
 {
-    core::limit_owner owner = make_owner(100, 15);
-    owner.set_fleet(make_fleet(100, 40), at(1000));
-    cr_assert_eq(owner.lend(borrower_a, ask(1, 40, 0), at(1000)).tokens, 10.0);
+    core::limit_owner owner = make_owner(1000, 60);
+    owner.set_fleet(make_fleet(1000, 160), at(1000));
+    cr_assert_eq(owner.lend(borrower_a, ask(1, 60, 0), at(1000)).tokens, 40.0);
     cr_assert_eq(owner.lend(borrower_a, ask(2, 40, 1), at(4200)).tokens, 0.0);
-    cr_assert_eq(owner.lend(borrower_a, ask(3, 40, 1), at(4400)).tokens, 2.0);
+    cr_assert_eq(owner.lend(borrower_a, ask(3, 40, 1), at(4400)).tokens, 25.0);
 }
 
 // Guards against a team that gains a second burst by being removed and added again.
@@ -210,13 +212,19 @@
 // Guards against a refund of a spend that the owner knows of and has minted for.
 Test(limit_client, reported_spend_is_not_refunded)
 {
-    core::limit_owner owner = make_owner(0.1, 1);
-    core::limit_client client = make_client(0.1, 1);
-    const core::limit_token token = borrow(client, owner, at(0));
-    cr_assert(client.spend(token, at(1)));
+    core::limit_owner owner = make_owner(0.1, 2);
+    core::limit_client client = make_client(0.1, 2);
+    client.want(namur, 2, at(0));
+    exchange(client, owner, at(0));
+    const auto spent = client.take(namur, at(0));
+    // The second token keeps the grant open.
+    const auto queued = client.take(namur, at(0));
+    client.want(namur, 0, at(0));
+    cr_assert(spent && queued && client.spend(*spent, at(1)));
     exchange(client, owner, at(50));
-    client.give_back(token, at(51));
+    client.give_back(*spent, at(51));
     cr_assert(!client.take(namur, at(51)));
+    cr_assert(client.spend(*queued, at(52)));
 }
 
 // Guards against the loss of a token whose request the target refused at once.
@@ -311,3 +319,127 @@
     }
     cr_assert(questions * 4 < requests, "%zu questions for %zu requests", questions, requests);
 }
+
+namespace {
+
+using limit_simulation::simulation;
+
+void add_teams(simulation& run)
+{
+    run.add_team("alost", 0.2, 1);
+    run.add_team("binche", 1, 2);
+    run.add_team("ciney", 50, 1);
+    run.add_team("dinant", 5, 5);
+    run.add_team("eupen", 20, 33);
+    run.add_team("fleurus", 200, 100);
+}
+
+void add_random_fault(simulation& run)
+{
+    const std::size_t index = run.random()() % 10;
+    const double kind = run.chance();
+    const bool enough = run.usable().size() > 7;
+    if (!run.alive(index)) {
+        run.restart(index);
+    }
+    else if (kind < 0.2 && enough) {
+        run.kill(index);
+    }
+    else if (kind < 0.4 && enough) {
+        run.freeze(index, milliseconds(run.random()() % 6000));
+    }
+    else if (kind < 0.6 && enough) {
+        run.leave(index);
+    }
+    else if (kind < 0.8) {
+        run.cut(1 + run.random()() % 3);
+        run.after(milliseconds(run.random()() % 4000), [&run] { run.cut(0); });
+    }
+    else {
+        const std::pair<double, double> limits[] = {{5, 1},   {20, 9},    {60, 33},
+                                                    {60, 70}, {200, 100}, {400, 300}};
+        const auto [rate, burst] = limits[run.random()() % 6];
+        run.change(4 + run.random()() % 2, rate, burst);
+    }
+}
+
+limit_simulation::counts run_with_faults(std::uint64_t seed, bool flood)
+{
+    limit_simulation::options chosen;
+    chosen.seed = seed;
+    chosen.flood = flood;
+    chosen.loss = 0.02;
+    chosen.duplicates = 0.05;
+    chosen.late = 0.02;
+    chosen.queued = 0.1;
+    chosen.refused = 0.05;
+    simulation run(chosen);
+    add_teams(run);
+    run.begin();
+    for (int step = 0; step < 60; ++step) {
+        run.run_for(milliseconds(run.random()() % 4000));
+        add_random_fault(run);
+    }
+    const auto& totals = run.totals();
+    std::fprintf(stderr, "seed %lu%s: offered %lu, run %lu, refused %lu, over the limit %.9f\n",
+                 seed, flood ? " flood" : "", totals.offered, totals.run, totals.refused,
+                 run.excess());
+    cr_assert_lt(run.excess(), 1e-6, "seed %lu: %f tokens over the limit", seed, run.excess());
+    return totals;
+}
+
+void run_without_faults(bool skewed)
+{
+    limit_simulation::options chosen;
+    chosen.seed = 7;
+    chosen.skewed = skewed;
+    simulation run(chosen);
+    add_teams(run);
+    run.begin();
+    run.run_for(seconds(120));
+    const auto& totals = run.totals();
+    std::fprintf(stderr, "seed 7: offered %lu, run %lu, refused %lu\n", totals.offered, totals.run,
+                 totals.refused);
+    cr_assert_lt(run.excess(), 1e-6);
+    cr_assert_eq(totals.refused, 0U);
+    cr_assert_gt(totals.run, 10000U);
+}
+
+} // namespace
+
+// Guards against refusals of callers within their limit that all use one instance, which owns few
+// of the portions or none.
+Test(limits, skewed_callers_get_their_tokens)
+{
+    run_without_faults(true);
+}
+
+// Guards against refusals of callers within their limit that use another instance each time, so
+// that tokens lie where the last request was.
+Test(limits, uniform_callers_get_their_tokens)
+{
+    run_without_faults(false);
+}
+
+// Guards against tokens that are created by loss, repetition, delay, death, freezing, hand-over,
+// takeover or changes of the limits. Callers flood, so that every token is spent.
+Test(limits, no_window_exceeds_the_limit_whatever_fails)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        run_with_faults(seed, true);
+    }
+}
+
+// Guards against failures that cost callers within their limit more tokens than they have to. With
+// a fault every 2 s, most refusals are those of takeovers and partitions.
+Test(limits, failures_cost_a_bounded_share_of_the_requests)
+{
+    std::uint64_t offered = 0;
+    std::uint64_t refused = 0;
+    for (std::uint64_t seed = 21; seed <= 26; ++seed) {
+        const auto totals = run_with_faults(seed, false);
+        offered += totals.offered;
+        refused += totals.refused;
+    }
+    cr_assert_lt(refused * 4, offered, "%lu of %lu refused", refused, offered);
+}
