core: divide limits into portions of at least 8 tokens

Ruled out: a takeover without the log, which no order would decide; static reserves, which refuse skewed callers all the time (docs/limits.md). Change: least_tokens is 8; a test that relied on the default names its division. Conclusion: a dead owner in an outage costs a team of 16 or more a part of its rate in place of all; teams below 16 still have one owner.

--- a/src/core/limit_owner.hpp
+++ b/src/core/limit_owner.hpp
@@ -16,13 +16,15 @@
 /// How limits are divided into portions. The same on every instance of a deployment.
 struct limit_portioning {
     /// Tokens of burst, and of rate per second, that a portion has at least when there are several.
-    /// Small portions refuse callers within their limit, because fractions of a token lie in each
-    /// and a full one mints nothing while another is empty (docs/limits.md).
-    double least_tokens = 32;
+    /// Smaller portions refuse callers within their limit, because fractions of a token lie in each
+    /// and a full one mints nothing while another is empty; larger ones leave more teams with a
+    /// single owner, whose death while the log is down refuses them until it is back
+    /// (docs/limits.md).
+    double least_tokens = 8;
     std::uint32_t most_portions = 4;
 };
 
-/// Portions of a team's limit: clamp(min(burst, rate) / 32, 1, 4) by default. Thread-safe.
+/// Portions of a team's limit: clamp(min(burst, rate) / 8, 1, 4) by default. Thread-safe.
 std::uint32_t portion_count(const team& limits, const limit_portioning& division = {});
 
 /// Rate and burst of one portion.
--- a/tests/core/limits_test.cpp
+++ b/tests/core/limits_test.cpp
@@ -42,9 +42,11 @@
 }
 
 /// Owner of all shards from before the first fleet on, so that the team starts with its burst.
-core::limit_owner make_owner(double rate, double burst)
+core::limit_owner make_owner(double rate, double burst, const core::limit_portioning& division = {})
 {
-    core::limit_owner owner{{}};
+    core::limit_owner_settings settings;
+    settings.division = division;
+    core::limit_owner owner{settings};
     acquire_all(owner, at(0));
     owner.set_fleet(make_fleet(rate, burst), at(0));
     return owner;
@@ -167,7 +169,7 @@
 // are in use together.
 Test(limit_owner, raised_portions_wait_when_their_number_changes)
 {
-    core::limit_owner owner = make_owner(1000, 60);
+    core::limit_owner owner = make_owner(1000, 60, {32, 4});
     owner.set_fleet(make_fleet(1000, 160), at(1000));
     cr_assert_eq(owner.lend(borrower_a, ask(1, 60, 0), at(1000)).tokens, 40.0);
     cr_assert_eq(owner.lend(borrower_a, ask(2, 40, 1), at(4200)).tokens, 0.0);
