cli: end error messages with one line break

Cause: a list of problems ends with a line end, so that an empty line stood between the error and the next step, as a run against two daemons showed. Ruled out: changing config::to_text, whose line ends are tested. Change: the line ends of a message are cut before it is printed.

--- a/src/cli/failure.cpp
+++ b/src/cli/failure.cpp
@@ -13,7 +13,9 @@
 
 std::string to_text(const failure& reason)
 {
-    std::string text = "error: " + printable_lines(reason.message) + "\n";
+    // Lists of problems end with a line end, single sentences do not.
+    const std::size_t size = reason.message.find_last_not_of('\n') + 1;
+    std::string text = "error: " + printable_lines(reason.message.substr(0, size)) + "\n";
     if (!reason.next_step.empty()) {
         text += "next: " + printable_lines(reason.next_step) + "\n";
     }
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -99,6 +99,7 @@
         const program_end end = fleet.run({command, fleet.file});
         EXPECT_CODE(end, 3);
         cr_assert(end.mentions(fleet.file + ":3: "), "%s", end.err.c_str());
+        cr_assert(!end.mentions("\n\n"), "%s", end.err.c_str());
     }
     cr_assert_eq(fleet.one.requests("GET /v1/status"), 0);
 }
