core: bring a deployment back after all its instances were replaced at once

Ruled out: counting ended members for currency; they vouch for nothing. Change: the instance with the highest rendezvous hash among the serving members removes ended members; a second record of another instance has the wrong base and is ignored. The operators' API answers an empty audit trail as such, and a drain that was not taken as overloaded. Conclusion: restart of all and replacement of all keep configuration and results; the latter needs the 30 s after which an unlisted member counts as ended.

--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -1,5 +1,7 @@
 #include "core/control_log.hpp"
 
+#include "core/rendezvous.hpp"
+
 #include <algorithm>
 
 namespace gooseberryfall::core {
@@ -295,7 +297,11 @@
         parts_.append_control(member_join{base, std::move(self)});
         return;
     }
-    if (!parts_.shards.held_epoch({shard_kind::control, 0})) {
+    // No lease decides who removes ended members: while they are most of the members, no lease can
+    // be taken over. If two instances try, the base of the second record is wrong and it is
+    // ignored.
+    const std::vector<instance_id> serving = parts_.members.serving(now);
+    if (rendezvous("ended members", serving) != parts_.settings.self.instance) {
         return;
     }
     for (const incarnation_id& ended : parts_.members.ended(now)) {
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -194,9 +194,9 @@
     parts_.members.set_list(what.instances, parts_.event_time);
     std::set<target_id> leaving;
     for (const listed_instance& listed : what.instances) {
-        const target_id target{listed.id.value()};
-        if (listed.leaving && parts_.targets.find(target) != nullptr) {
-            leaving.insert(target);
+        // The list names instances of every kind; the router only looks up its targets.
+        if (listed.leaving) {
+            leaving.insert(target_id(listed.id.value()));
         }
     }
     parts_.targets.set_leaving(leaving);
--- a/src/operators/operators_api.cpp
+++ b/src/operators/operators_api.cpp
@@ -122,12 +122,13 @@
         {"/v1/jobs", core::operator_view::jobs}};
     const auto view = views.find(path);
     if (view != views.end()) {
-        const core::request_id id = open(responder);
+        const core::request_id id = open(responder, view->second);
         post(id, core::operator_query{id, view->second});
         return;
     }
     if (path.starts_with(jobs_prefix)) {
-        const core::request_id id = open(responder, core::job_id(path.substr(jobs_prefix.size())));
+        const core::request_id id = open(responder, core::operator_view::jobs,
+                                         core::job_id(path.substr(jobs_prefix.size())));
         post(id, core::operator_query{id, core::operator_view::jobs});
         return;
     }
@@ -142,7 +143,10 @@
         return;
     }
     if (path == "/v1/drain") {
-        callbacks_.try_post(core::leave_requested{});
+        if (!callbacks_.try_post(core::leave_requested{})) {
+            send_error(responder, core::refusal_code::overloaded, "this instance is overloaded");
+            return;
+        }
         send_json(responder, 200, json::object{{"leaving", true}});
         return;
     }
@@ -180,13 +184,13 @@
 }
 
 core::request_id operators_api::open(const std::shared_ptr<http::responder>& responder,
-                                     const core::job_id& job)
+                                     core::operator_view view, const core::job_id& job)
 {
     core::request_id id = 0;
     {
         const std::lock_guard lock(mutex_);
         id = operator_request_bit | next_request_++;
-        calls_[id] = {responder, job};
+        calls_[id] = {responder, view, job};
     }
     responder->when_ended([this, id](bool whole) {
         if (!whole && take(id).responder) {
@@ -256,7 +260,7 @@
         return;
     }
     if (call.job.empty()) {
-        const bool audit = !action.audit.empty();
+        const bool audit = call.view == core::operator_view::audit;
         send_json(call.responder, 200,
                   audit ? config::to_json(action.audit) : config::to_json(action.jobs));
         return;
--- a/src/operators/operators_api.hpp
+++ b/src/operators/operators_api.hpp
@@ -56,6 +56,8 @@
 private:
     struct pending_call {
         std::shared_ptr<http::responder> responder;
+        /// What a query asks for.
+        core::operator_view view = core::operator_view::status;
         /// Job to pick out of a list; empty for the whole list.
         core::job_id job;
     };
@@ -68,6 +70,7 @@
     void handle_apply(const http::request& request,
                       const std::shared_ptr<http::responder>& responder);
     core::request_id open(const std::shared_ptr<http::responder>& responder,
+                          core::operator_view view = core::operator_view::status,
                           const core::job_id& job = {});
     void post(core::request_id id, core::event what);
     pending_call take(core::request_id id);
--- a/tests/core/fake_deployment.cpp
+++ b/tests/core/fake_deployment.cpp
@@ -15,12 +15,19 @@
 constexpr milliseconds poll_interval{400};
 constexpr milliseconds append_delay{4};
 constexpr milliseconds append_retry{50};
+constexpr milliseconds list_interval{1000};
 
 std::string stream_name(std::uint32_t partition)
 {
     return "batch-" + std::to_string(partition);
 }
 
+std::string instance_name(std::uint32_t instance, std::uint32_t replaced)
+{
+    const std::string name = "i-" + std::to_string(instance);
+    return replaced == 0 ? name : name + "-" + std::to_string(replaced);
+}
+
 core::wall_time wall_of(core::time_point at)
 {
     return core::wall_time(std::chrono::duration_cast<milliseconds>(at.time_since_epoch()));
@@ -127,7 +134,7 @@
 {
     instance_state& state = instances_[instance];
     core::node_settings settings;
-    settings.self = {core::instance_id("i-" + std::to_string(instance)), ++state.run};
+    settings.self = {core::instance_id(instance_name(instance, state.replaced)), ++state.run};
     settings.data_centre = core::data_centre_id("dc-" + std::to_string(instance % 3));
     settings.caller_address = "127.0.0.1:" + std::to_string(10000 + instance);
     settings.peer_address = std::to_string(instance);
@@ -146,6 +153,23 @@
     state.backlog.clear();
     tick(instance, state.run);
     poll_control(instance, state.run);
+    list_instances(instance, state.run);
+}
+
+void fake_deployment::list_instances(std::uint32_t instance, std::uint64_t run)
+{
+    if (instances_[instance].run != run || !instances_[instance].node) {
+        return;
+    }
+    core::instance_list list;
+    for (std::uint32_t other = 0; other < size(); ++other) {
+        if (instances_[other].node) {
+            const std::string name = instance_name(other, instances_[other].replaced);
+            list.instances.push_back({core::instance_id(name), false});
+        }
+    }
+    deliver(instance, list);
+    schedule(list_interval, [=, this] { list_instances(instance, run); });
 }
 
 void fake_deployment::tick(std::uint32_t instance, std::uint64_t run)
@@ -521,6 +545,12 @@
     begin_run(instance);
 }
 
+void fake_deployment::replace(std::uint32_t instance)
+{
+    ++instances_[instance].replaced;
+    begin_run(instance);
+}
+
 void fake_deployment::freeze(std::uint32_t instance)
 {
     instances_[instance].frozen = true;
--- a/tests/core/fake_deployment.hpp
+++ b/tests/core/fake_deployment.hpp
@@ -59,6 +59,8 @@
     // Faults.
     void kill(std::uint32_t instance);
     void restart(std::uint32_t instance);
+    /// Starts an instance of another name in place of one that was killed.
+    void replace(std::uint32_t instance);
     void freeze(std::uint32_t instance);
     void thaw(std::uint32_t instance);
     void cut_from_log(std::uint32_t instance, bool cut);
@@ -109,6 +111,7 @@
     struct instance_state {
         std::unique_ptr<gooseberryfall::core::node> node;
         std::uint64_t run = 0;
+        std::uint32_t replaced = 0;
         bool frozen = false;
         bool cut_log = false;
         bool cut_peers = false;
@@ -150,6 +153,7 @@
     void deliver(std::uint32_t instance, const gooseberryfall::core::event& what);
     void perform(std::uint32_t instance, gooseberryfall::core::action& what);
     void tick(std::uint32_t instance, std::uint64_t run);
+    void list_instances(std::uint32_t instance, std::uint64_t run);
     void poll_control(std::uint32_t instance, std::uint64_t run);
     void poll_batch(std::uint32_t instance, std::uint64_t run, std::uint32_t partition);
     void read_control(std::uint32_t instance);
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -342,6 +342,41 @@
     cr_assert(deployment.result(call).completed, "%s", deployment.result(call).reason.text.c_str());
 }
 
+// Guards against a deployment that cannot come back after all instances were lost at once,
+// restarted or replaced by others, and against results that are lost with them.
+Test(node, comes_back_after_all_instances_are_lost)
+{
+    for (const bool replaced : {false, true}) {
+        fake_deployment deployment(121);
+        cr_assert(deployment.start(fake_deployment::make_fleet({make_team("a", 50, 50)}, 2, 8)));
+        const auto submitted = deployment.submit(0, "key-a", "job", make_items(300));
+        cr_assert(
+            deployment.run_until([&] { return deployment.result(submitted).ended; }, seconds(20)));
+        for (std::uint32_t instance = 0; instance < deployment.size(); ++instance) {
+            deployment.kill(instance);
+        }
+        deployment.run_for(seconds(1));
+        for (std::uint32_t instance = 0; instance < deployment.size(); ++instance) {
+            if (replaced) {
+                deployment.replace(instance);
+            }
+            else {
+                deployment.restart(instance);
+            }
+        }
+        // Replaced members count as ended 30 s after they are missing from the list.
+        deployment.run_for(seconds(60));
+        const auto call = deployment.call_online(1, "key-a");
+        const auto read =
+            deployment.ask_job(2, "key-a", core::job_call::results, job_of("a", "job"));
+        deployment.run_for(seconds(5));
+        cr_assert(deployment.result(call).completed, "replaced %d: %s", replaced,
+                  deployment.result(call).reason.text.c_str());
+        cr_assert(complete_once(deployment.result(read), 300), "replaced %d", replaced);
+        cr_assert_eq(deployment.node_of(0).state().members().size(), 5U);
+    }
+}
+
 // Guards against a node whose decisions depend on anything but its events.
 Test(node, is_deterministic)
 {
