peers: add the peer RPC transport

Cause: instances cannot send envelopes to each other. Ruled out: KJ's cross-thread promises for waking the event loop: the thread sanitizer does not see the locks inside of KJ's library and reported each use; an event descriptor does the same.

--- /dev/null
+++ b/src/peers/peers.hpp
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "peers/peer_transport.hpp"
--- /dev/null
+++ b/tests/peers/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(peers gooseberryfall_peers)
