core: probe three members in a round

Cause: bench/idle_cost showed 6.4 KB/s of peer bytes for each instance at 9, 18 and 36 instances, above the 6 KB/s that control may take. Ruled out: a longer interval, which makes a takeover longer; the probes' names, which save 60 of 416 bytes.

--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -25,7 +25,7 @@
     duration urgent_interval = std::chrono::milliseconds(100);
     /// Members probed in a round: ring successors and one picked by the round number, and as many
     /// again whose last answer is missing. Keeps the cost independent of the number of members.
-    std::uint32_t fan_out = 4;
+    std::uint32_t fan_out = 3;
     /// Probes that must be unanswered before a member is suspect, so that one lost message makes
     /// no suspicion.
     std::uint32_t unanswered_bound = 3;
