--- /dev/null
+++ b/tests/callers/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(callers gooseberryfall_callers)
--- /dev/null
+++ b/tests/targets/tests.cmake
@@ -0,0 +1,1 @@
+add_tests(targets gooseberryfall_targets)
