config: add the setting peers.seeds

Cause: an instance that starts while the log is down has nobody to ask for the control state: core::node_settings::seeds was never filled from the settings. Ruled out: a fault in asking the seeds; control_log::ask_seeds does so. Change: peers.seeds; the process harness sets it, restarts a plain service as one, and the engine stand-in counts the requests that it refuses.

--- a/src/config/daemon_settings.cpp
+++ b/src/config/daemon_settings.cpp
@@ -24,6 +24,9 @@
     node.self.number = incarnation;
     node.caller_address = advertised_address(settings.callers, caller_port);
     node.peer_address = advertised_address(settings.peers, peer_port);
+    for (const ip_endpoint& seed : settings.peer_seeds) {
+        node.seeds.push_back(to_text(seed));
+    }
     node.members.self = node.self;
     node.members.data_centre = node.data_centre;
     node.batch.self = node.self;
--- a/src/config/daemon_settings.hpp
+++ b/src/config/daemon_settings.hpp
@@ -76,6 +76,8 @@
     std::string region;
     listener_settings callers;
     listener_settings peers;
+    /// Peers that are asked for the control state at start while the log cannot be read.
+    std::vector<ip_endpoint> peer_seeds;
     ip_endpoint operators{"127.0.0.1", 0};
     /// SHA-256 of the operators' token.
     core::digest operator_token{};
--- a/src/config/settings_table.cpp
+++ b/src/config/settings_table.cpp
@@ -108,6 +108,12 @@
          endpoint_field("advertise", GOOSEBERRYFALL_AT(peers.advertise))
              .about("Address that other instances are told, if it is not the listening one; "
                     "port 0 stands for the listening port."),
+         list_field<settings>(
+             "seeds", GOOSEBERRYFALL_AT(peer_seeds),
+             "a list of addresses such as [\"127.0.0.1:7000\"] with ports from 1 on",
+             platform_endpoint, [](const ip_endpoint& value) { return to_text(value); })
+             .about("Addresses of other instances, which are asked for the control state at start "
+                    "while the log cannot be read."),
          duration_field<settings>("probe_interval", GOOSEBERRYFALL_AT(node.members.probe_interval),
                                   milliseconds(10), seconds(30))
              .about("Time between rounds of probes; at most half of currency.bound, so that a "
--- a/stand_ins/engine_state.cpp
+++ b/stand_ins/engine_state.cpp
@@ -146,7 +146,7 @@
     if (const auto value = query(parts, "token_ms")) {
         settings_.token_interval = std::chrono::milliseconds(number(*value));
     }
-    to->send(json_answer({{"ok", true}}));
+    to->send(json_answer({{"ok", true}, {"refused", refused_}}));
 }
 
 void engine_state::send_records(const std::shared_ptr<http::responder>& to)
@@ -194,6 +194,7 @@
     const bool refuse = leaving_ || refuse_next_ > 0;
     if (refuse) {
         refuse_next_ -= refuse_next_ > 0 ? 1 : 0;
+        ++refused_;
         http::response answer = json_answer({{"error", "not admitted"}}, 503);
         answer.headers.set("Run-Verdict", "not_run");
         answer.headers.set("Leaving", leaving_ ? "true" : "false");
--- a/stand_ins/engine_state.hpp
+++ b/stand_ins/engine_state.hpp
@@ -90,6 +90,8 @@
     std::uint32_t mismatch_next_ = 0;
     std::uint32_t refuse_next_ = 0;
     std::chrono::milliseconds extra_delay_{0};
+    /// Requests refused as not run.
+    std::uint64_t refused_ = 0;
 };
 
 } // namespace gooseberryfall::stand_ins
--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -147,11 +147,18 @@
 std::string process_deployment::settings_text(std::uint32_t number) const
 {
     const std::string name = std::to_string(number);
+    std::string seeds;
+    for (std::uint32_t other = 0; other < options_.instances; ++other) {
+        const auto route = routes_.find("peer-" + std::to_string(other));
+        if (other != number && route != routes_.end()) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + address(route->second) + "\"";
+        }
+    }
     return "[instance]\nname = \"i-" + name + "\"\ndata_centre = \"dc-" +
            std::to_string(number % 3) + "\"\nregion = \"test\"\n" +
            "[callers]\nlisten = \"127.0.0.1:0\"\n" +
            "[peers]\nlisten = \"127.0.0.1:0\"\nadvertise = \"" +
-           address(routes_.at("peer-" + name)) + "\"\n" +
+           address(routes_.at("peer-" + name)) + "\"\nseeds = [" + seeds + "]\n" +
            "[operators]\nlisten = \"127.0.0.1:0\"\ntoken_sha256 = \"" + digest_of(token) + "\"\n" +
            "[platform]\naddresses = [\"" + address(routes_.at("log-" + name)) + "\"]\n" +
            "[deployment]\nlimit_shards = 8\nbatch_partitions = 4\n" + options_.settings;
@@ -173,6 +180,9 @@
     std::vector<std::string> flags = options_.engine_flags;
     flags.push_back("--slots=" + std::to_string(options_.slots));
     flags.push_back("--port=" + std::to_string(engine_ports_.at(number)));
+    if (number >= options_.engines) {
+        flags.emplace_back("--plain");
+    }
     return engines_.at(number).start(GOOSEBERRYFALL_ENGINE, flags);
 }
 
