targets: keep the caller's key out of all headers and the query

Cause: only the headers known to carry credentials were removed. A key that a caller repeated in another header or in the query went on to the target. Ruled out: the removed headers themselves; Authorization, X-Api-Key and Cookie never reached a target. Change: header fields and query parameters that hold the key sent as Authorization are removed. Keys under 8 characters are compared as a whole. On an open route without Authorization a key in the query is not recognised.

--- a/src/targets/dispatcher.cpp
+++ b/src/targets/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <charconv>
@@ -41,6 +42,69 @@
     return fields;
 }
 
+/// Below this length a key cannot be told from ordinary text inside a longer value.
+constexpr std::size_t embedded_key_length = 8;
+
+/// The key that a caller sent; empty if there is none.
+std::string key_of(const http::header_fields& headers)
+{
+    constexpr std::string_view bearer = "Bearer ";
+    const std::string value = headers.get("Authorization");
+    return value.starts_with(bearer) ? value.substr(bearer.size()) : std::string();
+}
+
+bool holds_key(const std::string& text, const std::string& key)
+{
+    if (key.size() < embedded_key_length) {
+        return !key.empty() && text == key;
+    }
+    return text.find(key) != std::string::npos;
+}
+
+/// Whether one parameter of a query, still encoded, holds the key in its name or value.
+bool parameter_holds_key(const std::string& parameter, const std::string& key)
+{
+    const auto parts = http::parse_target("/?" + parameter);
+    if (!parts) {
+        return holds_key(parameter, key);
+    }
+    return std::any_of(parts->query.begin(), parts->query.end(), [&](const auto& entry) {
+        return holds_key(entry.first, key) || holds_key(entry.second, key);
+    });
+}
+
+/// The target without parameters that hold the key.
+std::string without_key(const std::string& target, const std::string& key)
+{
+    const std::size_t question = target.find('?');
+    if (question == std::string::npos) {
+        return target;
+    }
+    std::string kept;
+    std::size_t begin = question + 1;
+    while (begin <= target.size()) {
+        const std::size_t end = std::min(target.find('&', begin), target.size());
+        const std::string parameter = target.substr(begin, end - begin);
+        if (!parameter_holds_key(parameter, key)) {
+            kept += (kept.empty() ? "?" : "&") + parameter;
+        }
+        begin = end + 1;
+    }
+    return target.substr(0, question) + kept;
+}
+
+/// The fields without those that hold the key.
+http::header_fields without_key(const http::header_fields& fields, const std::string& key)
+{
+    http::header_fields kept;
+    for (const auto& [name, value] : fields) {
+        if (!holds_key(value, key)) {
+            kept.add(name, value);
+        }
+    }
+    return kept;
+}
+
 std::optional<std::size_t> declared_length(const http::response_head& head)
 {
     const std::string* text = head.headers.find("Content-Length");
@@ -245,8 +309,11 @@
         }
         http::client_request request;
         request.method = exchange_->request.method;
-        request.target = exchange_->request.target;
-        request.headers = without(exchange_->request.headers, request_headers_removed);
+        const std::string key = key_of(exchange_->request.headers);
+        // Callers also put their key where it is not asked for, for example into the query.
+        request.target = without_key(exchange_->request.target, key);
+        request.headers =
+            without_key(without(exchange_->request.headers, request_headers_removed), key);
         request.body = exchange_->request.body;
         send(std::move(request));
     }
