targets: leave every repeat of a request to the decisions

Cause: for repeatable requests the HTTP client sent a request again when a pooled connection broke after it was written. The decisions did not know: the second sending was not charged, the first was forgotten in the result, and a target's death by it was not noted. Ruled out: retries by online_requests; they take a token and keep may_have_run. Change: dispatches use connections as requests that may not be repeated do. Conclusion: what may have run twice is charged twice.

--- a/src/targets/dispatcher.cpp
+++ b/src/targets/dispatcher.cpp
@@ -213,7 +213,9 @@
         request.address = order_.address + ":" + std::to_string(order_.port);
         request.headers.set("X-Request-Id", request_number());
         request.timeouts = to_timeouts(order_.timeouts);
-        request.use = order_.repeatable ? http::connection_use::any : http::connection_use::recent;
+        // The client must not send again by itself, even if the request may be repeated: what was
+        // sent twice has to be charged twice, may have run, and may have ended the target.
+        request.use = http::connection_use::recent;
         http::call_observer observer;
         observer.on_head = [self = shared_from_this()](const http::response_head& head) {
             return self->take_head(head);
