core: do not use up a request's tries on suspect targets

Cause: suspects whose pauses end together look least loaded, so a request that had failed already tried one after the other and ran out of tries. Ruled out: missing notice of a dead target; failed load polls are counted. Change: a request that a target has failed goes to targets without failures while one of them is free. Conclusion: several dead targets do not fail a request while one is well.

--- a/src/core/online_requests.cpp
+++ b/src/core/online_requests.cpp
@@ -280,6 +280,7 @@
     query.prefix = state.prefix;
     query.request = id;
     query.alone = state.alone;
+    query.failed_before = !state.failed_targets.empty();
     query.exclude = state.failed_targets;
     query.exclude.insert(parts_.reserved_targets.begin(), parts_.reserved_targets.end());
     const std::optional<target_id> chosen = parts_.targets.choose(query, now);
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -235,6 +235,12 @@
     for (const target_state* state : usable) {
         candidates.push_back({state, random ? 0 : load(*state, mean, now)});
     }
+    const auto is_sound = [&](const candidate& each) {
+        return each.state->failures == 0 && is_eligible(*each.state, query, now);
+    };
+    if (query.failed_before && std::any_of(candidates.begin(), candidates.end(), is_sound)) {
+        std::erase_if(candidates, [&](const candidate& each) { return !is_sound(each); });
+    }
     if (!random && query.prefix != 0) {
         if (const target_state* preferred = affine(candidates, query, now)) {
             return preferred->info.id;
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -53,6 +53,9 @@
     std::set<target_id> exclude;
     /// Whether no other request may run beside it, as far as known.
     bool alone = false;
+    /// Whether a target has failed it. Its tries are limited, so it is not used to try a suspect
+    /// while another target is free.
+    bool failed_before = false;
 };
 
 /// State of all targets as this instance knows it, and the choice between them. Not thread-safe.
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -56,6 +56,23 @@
 }
 
 } // namespace
+// although another target is free.
+Test(router, failed_request_does_not_try_suspects)
+{
+    core::router router = make_router(3);
+    router.on_failure(one, start);
+    router.on_failure(two, start);
+    start_online(router, three, 5);
+    const core::time_point later = start + seconds(1);
+    cr_assert(router.choose(query(), later) != three, "no request tries the suspects");
+    core::route_query retried = query();
+    retried.failed_before = true;
+    cr_assert(router.choose(retried, later) == three);
+    start_online(router, three, 5);
+    cr_assert(router.choose(retried, later).has_value(), "a suspect is better than none");
+}
+
+// namespace
 
 // Guards against load that ignores slots or other instances, and against batch streams, which
 // yield, keeping online requests away.
