tests: provoke faults under online work through real processes

Cause: the promises to callers were not tested under faults with processes. Ruled out: judging by the daemon's counters; the tests judge by what engines recorded and callers got.

--- a/tests/process/tests.cmake
+++ b/tests/process/tests.cmake
@@ -1,5 +1,5 @@
 add_library(process_test_support STATIC ${CMAKE_CURRENT_LIST_DIR}/child_process.cpp
-    ${CMAKE_CURRENT_LIST_DIR}/process_deployment.cpp)
+    ${CMAKE_CURRENT_LIST_DIR}/process_deployment.cpp ${CMAKE_CURRENT_LIST_DIR}/caller_traffic.cpp)
 target_include_directories(process_test_support PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
 target_link_libraries(process_test_support PUBLIC gooseberryfall_http gooseberryfall_config Boost::json)
 target_compile_definitions(process_test_support PRIVATE
