--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -74,6 +74,7 @@
         throw std::runtime_error("cannot make a folder");
     }
     folder_ = pattern;
+    write_file("token", token);
     instances_.resize(options_.instances);
 }
 
@@ -86,7 +87,7 @@
 
 std::string process_deployment::write_file(const std::string& name, const std::string& text) const
 {
-    const std::string path = folder_ + "/" + name;
+    std::string path = folder_ + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
@@ -274,7 +275,7 @@
 process_deployment::command(std::uint32_t instance, const std::vector<std::string>& arguments) const
 {
     std::vector<std::string> all{"--instance=" + operators(instance),
-                                 "--token_file=" + write_file("token", token), "--author=tester"};
+                                 "--token_file=" + folder_ + "/token", "--author=tester"};
     all.insert(all.end(), arguments.begin(), arguments.end());
     return run_program(GOOSEBERRYFALL_COMMAND, all);
 }
@@ -349,8 +350,9 @@
 {
     std::vector<std::uint32_t> indices;
     std::string from = "0";
+    const std::string path = "/v1/batches/" + job + "/results?from=";
     while (!from.empty()) {
-        const auto page = get(instance, key, "/v1/batches/" + job + "/results?from=" + from);
+        const auto page = get(instance, key, path + from);
         if (page.head.status != 200) {
             break;
         }
--- a/tests/process/tests.cmake
+++ b/tests/process/tests.cmake
@@ -1,8 +1,9 @@
 add_library(process_test_support STATIC ${CMAKE_CURRENT_LIST_DIR}/child_process.cpp
+    ${CMAKE_CURRENT_LIST_DIR}/job_history.cpp
     ${CMAKE_CURRENT_LIST_DIR}/process_deployment.cpp)
 target_include_directories(process_test_support PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
 target_link_libraries(process_test_support PUBLIC gooseberryfall_http gooseberryfall_config Boost::json)
-target_compile_definitions(process_test_support PRIVATE
+target_compile_definitions(process_test_support PUBLIC
     GOOSEBERRYFALL_PLATFORM="$<TARGET_FILE:platform_stand_in>"
     GOOSEBERRYFALL_FAULT_PROXY="$<TARGET_FILE:fault_proxy_stand_in>"
     GOOSEBERRYFALL_ENGINE="$<TARGET_FILE:engine_stand_in>"
