--- a/tests/core/limits_test.cpp
+++ b/tests/core/limits_test.cpp
@@ -187,7 +187,8 @@
 }
 
 // Guards against a late report that costs the team the tokens minted since the spend: a caller at
-// exactly its rate would be refused. And against minting them twice for two reports.
+// exactly its rate would be refused. And against minting them twice for two reports, or before the
+// transit margin of 3 ms has passed, which exceeds the limit at the target's door.
 Test(limit_owner, late_report_mints_since_the_spend_once)
 {
     core::limit_owner owner = make_owner(10, 2);
@@ -195,9 +196,10 @@
     cr_assert_eq(owner.lend(borrower_b, ask(1, 1), at(0)).tokens, 1.0);
     owner.lend(borrower_a, report(2, {1, 1, 0, milliseconds(100), false}), at(100));
     owner.lend(borrower_b, report(2, {1, 1, 0, milliseconds(100), false}), at(100));
-    cr_assert_eq(owner.lend(borrower_a, ask(3, 2), at(100)).tokens, 1.0);
-    cr_assert_eq(owner.lend(borrower_a, ask(4, 2), at(199)).tokens, 0.0);
-    cr_assert_eq(owner.lend(borrower_a, ask(5, 2), at(201)).tokens, 1.0);
+    cr_assert_eq(owner.lend(borrower_a, ask(3, 2), at(102)).tokens, 0.0);
+    cr_assert_eq(owner.lend(borrower_a, ask(4, 2), at(104)).tokens, 1.0);
+    cr_assert_eq(owner.lend(borrower_a, ask(5, 2), at(202)).tokens, 0.0);
+    cr_assert_eq(owner.lend(borrower_a, ask(6, 2), at(204)).tokens, 1.0);
 }
 
 // Guards against a message with numbers that are no amounts of tokens.
