--- a/stand_ins/engine_state.cpp
+++ b/stand_ins/engine_state.cpp
@@ -155,6 +155,8 @@
     for (const engine_record& entry : records_) {
         json::array headers(entry.headers.begin(), entry.headers.end());
         list.push_back({{"at_us", entry.at_us},
+                        {"started_us", entry.started_us},
+                        {"ended_us", entry.ended_us},
                         {"request_id", entry.request_id},
                         {"method", entry.method},
                         {"path", entry.path},
@@ -290,6 +292,7 @@
             continue;
         }
         running_[next->id] = next;
+        records_[next->record].started_us = now_us();
         prefill(next);
     }
 }
@@ -389,6 +392,7 @@
     }
     running->ended = true;
     records_[running->record].end = how;
+    records_[running->record].ended_us = now_us();
     running_.erase(running->id);
     admit();
 }
--- a/stand_ins/engine_state.hpp
+++ b/stand_ins/engine_state.hpp
@@ -34,6 +34,9 @@
 /// One request as the engine saw it, for the checkers of the tests.
 struct engine_record {
     std::int64_t at_us = 0;
+    /// When it got and left a slot; 0 if it has not.
+    std::int64_t started_us = 0;
+    std::int64_t ended_us = 0;
     std::string request_id;
     std::string method;
     std::string path;
--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -148,13 +148,15 @@
 {
     const std::string name = std::to_string(number);
     return "[instance]\nname = \"i-" + name + "\"\ndata_centre = \"dc-" +
-           std::to_string(number % 3) + "\"\nregion = \"test\"\n" +
+           std::to_string(number % options_.data_centres) + "\"\nregion = \"test\"\n" +
            "[callers]\nlisten = \"127.0.0.1:0\"\n" +
            "[peers]\nlisten = \"127.0.0.1:0\"\nadvertise = \"" +
            address(routes_.at("peer-" + name)) + "\"\n" +
            "[operators]\nlisten = \"127.0.0.1:0\"\ntoken_sha256 = \"" + digest_of(token) + "\"\n" +
            "[platform]\naddresses = [\"" + address(routes_.at("log-" + name)) + "\"]\n" +
-           "[deployment]\nlimit_shards = 8\nbatch_partitions = 4\n" + options_.settings;
+           "[deployment]\nlimit_shards = " + std::to_string(options_.limit_shards) +
+           "\nbatch_partitions = " + std::to_string(options_.batch_partitions) + "\n" +
+           options_.settings;
 }
 
 bool process_deployment::start_instance(std::uint32_t number)
@@ -251,7 +253,8 @@
     }
     for (const auto& team : options_.teams) {
         text += "[[team]]\nname = \"" + team.name + "\"\nrate = " + std::to_string(team.rate) +
-                "\nburst = " + std::to_string(team.burst) + "\n[[key]]\nname = \"" + team.name +
+                "\nburst = " + std::to_string(team.burst) +
+                "\nweight = " + std::to_string(team.weight) + "\n[[key]]\nname = \"" + team.name +
                 "-1\"\nteam = \"" + team.name + "\"\nhash = \"" + digest_of("key-" + team.name) +
                 "\"\n";
     }
@@ -380,6 +383,8 @@
             seen_request request;
             request.engine = number;
             request.at_us = entry.at("at_us").as_int64();
+            request.started_us = entry.at("started_us").as_int64();
+            request.ended_us = entry.at("ended_us").as_int64();
             request.path = to_text(entry.at("path"));
             request.body = to_text(entry.at("body"));
             request.end = to_text(entry.at("end"));
--- a/tests/process/process_deployment.hpp
+++ b/tests/process/process_deployment.hpp
@@ -25,8 +25,12 @@
         std::string name;
         double rate = 100;
         double burst = 100;
+        double weight = 1;
     };
     std::vector<team> teams{{"namur", 100, 100}, {"leuven", 100, 100}};
+    std::uint32_t limit_shards = 8;
+    std::uint32_t batch_partitions = 4;
+    std::uint32_t data_centres = 3;
     /// Text added to each instance's settings file.
     std::string settings;
     /// Whether engines are reached through the fault proxy.
@@ -110,6 +114,9 @@
     struct seen_request {
         std::uint32_t engine = 0;
         std::int64_t at_us = 0;
+        /// When it got and left a slot; 0 if it has not.
+        std::int64_t started_us = 0;
+        std::int64_t ended_us = 0;
         std::string path;
         std::string body;
         std::vector<std::string> headers;
