bench: show how long online requests wait for a slot

Cause: the first-token tail did not tell how often batch streams were in the way. Change: slot wait in engine_usage, the table and the JSON.

--- a/bench/case_result.cpp
+++ b/bench/case_result.cpp
@@ -100,6 +100,9 @@
             {"batch_use_of_idle", result.usage.batch_use_of_idle},
             {"batch_items_per_second", result.usage.batch_items_per_second},
             {"batch_streams_cancelled", result.usage.batch_cancelled},
+            {"slot_wait_p99_ms", result.usage.slot_wait_p99_ms},
+            {"slot_wait_max_ms", result.usage.slot_wait_max_ms},
+            {"waited_part", result.usage.waited_part},
             {"over_admission", result.usage.over_admission},
             {"driver_cpu", result.driver_cpu},
             {"machine_load", result.machine_load}};
@@ -110,8 +113,9 @@
     return "| case | first token p50/p95/p99 ms | between tokens p50/p95/p99 ms | sent | answered "
            "| "
            "refused | wrongful | failed | worst/median goodput | worst/median p95 ms | online "
-           "slots | batch of idle | items/s | over limit | driver CPU | load |\n"
-           "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+           "slots | batch of idle | items/s | slot wait p99/max ms | over limit | driver CPU | "
+           "load |\n"
+           "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
 }
 
 std::string table_row(const case_result& result)
@@ -120,7 +124,7 @@
     std::snprintf(
         row, sizeof row,
         "| %s | %.1f/%.1f/%.1f | %.1f/%.1f/%.1f | %llu | %llu | %llu | %llu | %llu | %.3f/%.3f | "
-        "%.1f/%.1f | %.3f | %.3f | %.1f | %.1f | %.2f | %.1f |\n",
+        "%.1f/%.1f | %.3f | %.3f | %.1f | %.1f/%.1f | %.1f | %.2f | %.1f |\n",
         result.name.c_str(), result.first_token_p50, result.first_token_p95, result.first_token_p99,
         result.between_p50, result.between_p95, result.between_p99,
         static_cast<unsigned long long>(result.sent),
@@ -130,7 +134,8 @@
         static_cast<unsigned long long>(result.failed), result.worst_goodput, result.median_goodput,
         result.worst_first_token_p95, result.median_first_token_p95, result.usage.online_part,
         result.usage.batch_use_of_idle, result.usage.batch_items_per_second,
-        result.usage.over_admission, result.driver_cpu, result.machine_load);
+        result.usage.slot_wait_p99_ms, result.usage.slot_wait_max_ms, result.usage.over_admission,
+        result.driver_cpu, result.machine_load);
     return row;
 }
 
--- a/bench/engine_usage.cpp
+++ b/bench/engine_usage.cpp
@@ -5,6 +5,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds noticeable_wait{2};
+
 std::int64_t to_us(std::chrono::steady_clock::time_point time)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
@@ -38,6 +40,9 @@
     double batch_us = 0;
     std::uint64_t batch_completed = 0;
     engine_usage usage;
+    latency_histogram waits;
+    std::uint64_t waited = 0;
+    std::chrono::microseconds longest{0};
     std::map<std::string, std::vector<std::int64_t>> times;
     for (const auto& record : records) {
         const std::string user = json_field(record.body, "user");
@@ -50,6 +55,12 @@
         const bool ended_within = record.ended_us >= begin && record.ended_us < end;
         if (!user.empty()) {
             online_us += overlap;
+            if (record.at_us >= begin && record.at_us < end && record.started_us != 0) {
+                const std::chrono::microseconds wait(record.started_us - record.at_us);
+                waits.add(wait);
+                waited += wait > noticeable_wait ? 1 : 0;
+                longest = std::max(longest, wait);
+            }
             times[user].push_back(record.at_us);
             continue;
         }
@@ -63,6 +74,11 @@
     usage.batch_use_of_idle = batch_us / std::max(1.0, all_us - online_us);
     usage.batch_items_per_second =
         static_cast<double>(batch_completed) / (static_cast<double>(end - begin) / 1e6);
+    if (waits.count() > 0) {
+        usage.slot_wait_p99_ms = waits.quantile_ms(0.99);
+        usage.slot_wait_max_ms = std::chrono::duration<double, std::milli>(longest).count();
+        usage.waited_part = static_cast<double>(waited) / static_cast<double>(waits.count());
+    }
     for (const team_load& team : load.teams) {
         usage.over_admission =
             std::max(usage.over_admission, excess_over(team, times["key-" + team.name]));
--- a/bench/engine_usage.hpp
+++ b/bench/engine_usage.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "latency_histogram.hpp"
 #include "process/process_deployment.hpp"
 #include "workload.hpp"
 
@@ -16,6 +17,11 @@
     double batch_use_of_idle = 0;
     double batch_items_per_second = 0;
     std::uint64_t batch_cancelled = 0;
+    /// Time that online requests waited inside an engine for a slot, and the part of them that
+    /// waited over 2 ms.
+    double slot_wait_p99_ms = 0;
+    double slot_wait_max_ms = 0;
+    double waited_part = 0;
     /// Highest number of a team's requests over burst + rate * window, in any window; 0 if none.
     double over_admission = 0;
 };
