core: report online arrivals to the governor at once

Cause: an instance's reports on a target were sent at most every 50 ms, and batch streams that start and end use up that interval, so the governor withdrew another instance's batch stream up to 50 ms after an online arrival at a full target. Change: a report with more online requests than the last one is due at once. The test fails without it. Traffic grows by at most one small message for each online arrival.

--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -13,7 +13,7 @@
 /// Reports of unchanged use are repeated, because a governor forgets them after a second.
 constexpr std::chrono::milliseconds report_renewal{400};
 
-/// Bound on the rate of reports of changed use.
+/// Bound on the rate of reports of changed use, except for online arrivals.
 constexpr std::chrono::milliseconds report_interval{50};
 
 constexpr std::chrono::milliseconds governed_interval{200};
@@ -238,7 +238,10 @@
         report.batch_wanted = std::min(info.slots, pending(info.service));
         sent_report& last = reports_[id];
         const bool changed = !last.at || !same_use(last.report, report);
-        const bool due = !last.at || now >= *last.at + report_interval;
+        // Batch streams start and end more often than the interval. An online arrival that had to
+        // wait for it would stand behind batch work at a full target.
+        const bool arrived = report.online > last.report.online;
+        const bool due = !last.at || arrived || now >= *last.at + report_interval;
         const bool renew = last.at && now >= *last.at + report_renewal && in_use(report);
         if (!due || !(changed || renew) || (!last.at && !in_use(report))) {
             continue;
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -342,6 +342,32 @@
     cr_assert(deployment.result(call).completed, "%s", deployment.result(call).reason.text.c_str());
 }
 
+// Guards against online arrivals that wait for the interval of capacity reports while batch work of
+// other instances holds the slots.
+Test(node, frees_slots_for_online_arrivals_at_once)
+{
+    fake_deployment deployment(121, 5, 1);
+    cr_assert(deployment.start(fake_deployment::make_fleet({make_team("a", 50, 50)}, 1, 8)));
+    deployment.service_time = milliseconds(500);
+    const auto submitted = deployment.submit(0, "key-a", "job", make_items(500));
+    cr_assert(
+        deployment.run_until([&] { return deployment.result(submitted).ended; }, seconds(20)));
+    deployment.run_for(seconds(5));
+    for (std::uint32_t instance = 0; instance < 5; ++instance) {
+        std::vector<std::pair<std::uint64_t, core::time_point>> calls;
+        for (int step = 0; step < 5; ++step) {
+            calls.emplace_back(deployment.call_online(instance, "key-a"), deployment.now());
+            deployment.run_for(milliseconds(8));
+        }
+        deployment.run_for(seconds(5));
+        for (const auto& [call, at] : calls) {
+            cr_assert(deployment.result(call).completed);
+            cr_assert_lt((deployment.result(call).at - at).count(),
+                         core::duration(milliseconds(530)).count());
+        }
+    }
+}
+
 // Guards against a node whose decisions depend on anything but its events.
 Test(node, is_deterministic)
 {
