core: keep at most a twentieth of a target free for online arrivals

Ruled out: a lack of runnable items; with a headroom of 1 batch use rises at once. Change: default of governor.headroom_max_part 0.05 in place of 0.25.

--- a/src/core/capacity_governor.hpp
+++ b/src/core/capacity_governor.hpp
@@ -19,7 +19,7 @@
     /// only slot.
     std::uint32_t headroom_min = 1;
     /// Part of the slots that the headroom is at most.
-    double headroom_max_part = 0.25;
+    double headroom_max_part = 0.05;
     /// Time over which the strongest growth of online use is remembered.
     duration peak_window = std::chrono::seconds(2);
     /// Age after which an instance's report counts no more.
