tests: end children when a test fails

Cause: a failed assertion leaves a Criterion test without running destructors; 79 processes of failed runs were found still running. Ruled out: a parent-death signal, which depends on the thread that started the child and would be test code in the daemon. Change: child_process keeps the pids of its children and kills them when the test process exits. Measured: a test that fails on purpose after starting a deployment: its processes were left running before, none is left after; process_whole_path_test passes. Conclusion: what a test starts ends with it, unless the test process itself is killed.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -3,6 +3,8 @@
 #include <cerrno>
 #include <charconv>
 #include <csignal>
+#include <cstdlib>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -70,6 +72,30 @@
     return true;
 }
 
+/// Children that run. A failed assertion leaves a test without destructors; what it started is then
+/// ended when its process exits.
+std::set<pid_t>& live_children()
+{
+    static std::set<pid_t> children;
+    return children;
+}
+
+void end_live_children()
+{
+    for (const pid_t child : live_children()) {
+        ::kill(child, SIGKILL);
+    }
+}
+
+void note_started(pid_t child)
+{
+    if (live_children().empty()) {
+        static const bool registered = std::atexit(end_live_children) == 0;
+        static_cast<void>(registered);
+    }
+    live_children().insert(child);
+}
+
 std::chrono::milliseconds remaining(clock_type::time_point end)
 {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - clock_type::now());
@@ -107,6 +133,7 @@
     if (pid_ < 0) {
         return false;
     }
+    note_started(pid_);
     const auto end = clock_type::now() + limit;
     std::string text;
     while (text.find('\n') == std::string::npos) {
@@ -162,6 +189,7 @@
         int status = 0;
         while (waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
         }
+        live_children().erase(pid_);
         pid_ = -1;
     }
     close_output();
@@ -176,6 +204,7 @@
     for (;;) {
         int status = 0;
         if (waitpid(pid_, &status, WNOHANG) == pid_) {
+            live_children().erase(pid_);
             pid_ = -1;
             close_output();
             return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
