core, stand_ins: make one piece serve where two stood

Cause: a read of the whole change found the refusal not_current written three times in src/core, and the end of a stand-in written twice (run_until_signal beside stand_in.hpp). Ruled out: one constant-time comparison for core and config; the core knows nobody, so each keeps its own. Change: not_current() in node_parts; stand_in.hpp serves all stand-ins. No text, status or delay changes.

--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -181,10 +181,7 @@
 void control_log::on_apply(const operator_apply& apply, time_point now)
 {
     if (!parts_.is_current(now)) {
-        parts_.refuse(apply.request,
-                      {refusal_code::not_current,
-                       "this instance does not know the configuration in force; use another one",
-                       run_verdict::not_run, std::chrono::seconds(2)});
+        parts_.refuse(apply.request, not_current(std::chrono::seconds(2)));
         return;
     }
     config_change change;
--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Time after which a caller should come back while the instance cannot act.
-constexpr std::chrono::milliseconds not_current_retry{1000};
-
 shard_settings make_shard_settings(const node_settings& settings)
 {
     shard_settings result;
@@ -68,6 +65,13 @@
 
 } // namespace
 
+refusal not_current(std::chrono::milliseconds retry_after)
+{
+    return {refusal_code::not_current,
+            "this instance does not know the configuration in force; use another one",
+            run_verdict::not_run, retry_after};
+}
+
 node_parts::node_parts(const node_settings& node_configuration)
     : settings(node_configuration),
       freshness({node_configuration.self, node_configuration.currency_bound}),
@@ -170,9 +174,7 @@
                        run_verdict::not_run, std::chrono::milliseconds(0)};
     }
     if (!is_current(now)) {
-        return refusal{refusal_code::not_current,
-                       "this instance does not know the configuration in force; use another one",
-                       run_verdict::not_run, not_current_retry};
+        return not_current();
     }
     return std::nullopt;
 }
--- a/src/core/node_parts.hpp
+++ b/src/core/node_parts.hpp
@@ -21,6 +21,9 @@
 
 namespace gooseberryfall::core {
 
+/// Refusal of a call because the control state is not known to be current. Thread-safe.
+refusal not_current(std::chrono::milliseconds retry_after = std::chrono::milliseconds(1000));
+
 /// State that the parts of a node share, and the actions of the event being handled. Owned by the
 /// node. Not thread-safe.
 class node_parts {
--- a/src/core/online_requests.cpp
+++ b/src/core/online_requests.cpp
@@ -265,10 +265,7 @@
         }
     }
     for (const request_id id : keyed) {
-        refusal reason = {refusal_code::not_current,
-                          "this instance does not know the configuration in force; use another one",
-                          run_verdict::not_run, default_retry};
-        give_up(id, reason);
+        give_up(id, not_current());
     }
 }
 
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -1,7 +1,7 @@
 /// Stand-in for a model engine or, with --plain, for a plain service. See docs/protocols.md.
 
 #include "engine_state.hpp"
-#include "run_until_signal.hpp"
+#include "stand_in.hpp"
 
 #include <gflags/gflags.h>
 
@@ -23,6 +23,7 @@
 {
     gflags::SetUsageMessage("stand-in for a model engine or a plain service");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    stand_ins::hold_signals();
     stand_ins::engine_settings settings;
     settings.slots = static_cast<std::uint32_t>(FLAGS_slots);
     settings.prefill = std::chrono::milliseconds(FLAGS_prefill_ms);
--- a/stand_ins/fault_proxy.cpp
+++ b/stand_ins/fault_proxy.cpp
@@ -4,7 +4,7 @@
 /// changes it.
 
 #include "proxy_route.hpp"
-#include "run_until_signal.hpp"
+#include "stand_in.hpp"
 
 #include "http/http.hpp"
 
@@ -145,6 +145,7 @@
 {
     gflags::SetUsageMessage("TCP proxy that provokes faults");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    stand_ins::hold_signals();
     http::event_loop loop("proxy");
     proxy_control control(loop);
     http::server_settings listening;
--- a/stand_ins/stand_in.hpp
+++ b/stand_ins/stand_in.hpp
@@ -3,7 +3,9 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
+#include <string>
 #include <sys/prctl.h>
+#include <tl/expected.hpp>
 
 namespace gooseberryfall::stand_ins {
 
@@ -43,4 +45,17 @@
     sigwait(&ends, &signal);
 }
 
+/// Reports the port and waits for the end; returns the exit status, 1 with the reason on standard
+/// error if there is no port. Precondition: `hold_signals` was called.
+inline int run_until_signal(const tl::expected<std::uint16_t, std::string>& port)
+{
+    if (!port) {
+        std::fprintf(stderr, "cannot listen: %s\n", port.error().c_str());
+        return 1;
+    }
+    report_ready(*port);
+    wait_for_end();
+    return 0;
+}
+
 } // namespace gooseberryfall::stand_ins
