serving, fleet_wire: decisions for one fleet in front of targets without priorities

Cause: the users' platform gives no balancer, no disk and targets that admit in order of arrival, so slots have to be given out by the instances themselves. Ruled out: each instance placing alone; it cannot know what the others have sent. Change: slot scheduler, leadership, job ledger, team limits and their messages, without I/O. Conclusion: nothing runs on these parts yet.

--- /dev/null
+++ b/src/core/visitors.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace gooseberryfall::core {
+
+/// Joins function objects into one visitor for `std::visit`.
+template <class... Functions>
+struct visitors : Functions... {
+    using Functions::operator()...;
+};
+
+template <class... Functions>
+visitors(Functions...) -> visitors<Functions...>;
+
+} // namespace gooseberryfall::core
--- /dev/null
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -0,0 +1,305 @@
+#include "fleet_wire/datagram_codec.hpp"
+
+#include "core/visitors.hpp"
+#include "wire/message_bytes.hpp"
+
+#include "generated/fleet.capnp.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace gooseberryfall::fleet_wire {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::int32_t to_wire(milliseconds value)
+{
+    constexpr std::int64_t highest = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(value.count(), -highest, highest));
+}
+
+std::string text(capnp::Text::Reader value)
+{
+    return {value.begin(), value.size()};
+}
+
+void write(schema::Member::Builder out, const serving::fleet_member& in)
+{
+    out.setId(in.id.value());
+    out.setName(in.name);
+    out.setDataCentre(in.data_centre.value());
+    out.setCallersAddress(in.callers_address);
+    out.setCapacity(in.capacity);
+    out.setStartedAt(in.started_at);
+}
+
+serving::fleet_member read(schema::Member::Reader in)
+{
+    serving::fleet_member out;
+    out.id = core::instance_id(text(in.getId()));
+    out.name = text(in.getName());
+    out.data_centre = core::data_centre_id(text(in.getDataCentre()));
+    out.callers_address = text(in.getCallersAddress());
+    out.capacity = in.getCapacity();
+    out.started_at = in.getStartedAt();
+    return out;
+}
+
+template <class Builder>
+void write_partitions(Builder out, const std::vector<std::uint32_t>& in)
+{
+    auto list = out.initPartitions(static_cast<unsigned>(in.size()));
+    for (unsigned index = 0; index < in.size(); ++index) {
+        list.set(index, in[index]);
+    }
+}
+
+template <class Reader>
+std::vector<std::uint32_t> read_partitions(Reader in)
+{
+    std::vector<std::uint32_t> out;
+    for (const std::uint32_t partition : in.getPartitions()) {
+        out.push_back(partition);
+    }
+    return out;
+}
+
+void write(schema::SlotCall::Builder out, const serving::slot_call& in)
+{
+    const serving::slot_question& question = in.question;
+    out.setNumber(question.key.number);
+    out.setService(question.service.value());
+    out.setBatch(question.kind == serving::work_kind::batch);
+    out.setDataCentre(question.data_centre.value());
+    auto prefixes = out.initPrefixes(static_cast<unsigned>(question.prefixes.size()));
+    for (unsigned index = 0; index < question.prefixes.size(); ++index) {
+        prefixes.set(index, question.prefixes[index]);
+    }
+    out.setTokens(question.tokens);
+    out.setUntilObjectiveMs(to_wire(question.until_objective));
+    out.setUntilEndMs(to_wire(question.until_end));
+    out.setReturning(question.returning);
+    auto excluded = out.initExcluded(static_cast<unsigned>(question.excluded.size()));
+    for (unsigned index = 0; index < question.excluded.size(); ++index) {
+        excluded.set(index, question.excluded[index].value());
+    }
+    out.setTeam(in.team.value());
+    out.setFingerprint(in.fingerprint);
+}
+
+serving::slot_call read(schema::SlotCall::Reader in, const core::instance_id& sender)
+{
+    serving::slot_call out;
+    serving::slot_question& question = out.question;
+    question.key = {sender, in.getNumber()};
+    question.service = core::service_id(text(in.getService()));
+    question.kind = in.getBatch() ? serving::work_kind::batch : serving::work_kind::online;
+    question.data_centre = core::data_centre_id(text(in.getDataCentre()));
+    for (const std::uint64_t prefix : in.getPrefixes()) {
+        question.prefixes.push_back(prefix);
+    }
+    question.tokens = in.getTokens();
+    question.until_objective = milliseconds(in.getUntilObjectiveMs());
+    question.until_end = milliseconds(in.getUntilEndMs());
+    question.returning = in.getReturning();
+    for (const auto target : in.getExcluded()) {
+        question.excluded.emplace_back(text(target));
+    }
+    out.team = core::team_id(text(in.getTeam()));
+    out.fingerprint = in.getFingerprint();
+    return out;
+}
+
+void write(schema::SlotReply::Builder out, const serving::slot_reply& in)
+{
+    out.setNumber(in.number);
+    const auto on_grant = [&](const serving::slot_granted& grant) {
+        auto granted = out.initGranted();
+        granted.setTarget(grant.target.value());
+        granted.setAddress(grant.address);
+    };
+    const auto on_denial = [&](const serving::slot_denied& denial) {
+        auto denied = out.initDenied();
+        denied.setReason(static_cast<std::uint8_t>(denial.reason));
+        denied.setRetryAfterMs(to_wire(denial.retry_after));
+    };
+    std::visit(core::visitors{on_grant, on_denial}, in.result);
+}
+
+serving::slot_reply read(schema::SlotReply::Reader in)
+{
+    serving::slot_reply out;
+    out.number = in.getNumber();
+    if (in.isGranted()) {
+        out.result = serving::slot_granted{core::target_id(text(in.getGranted().getTarget())),
+                                           text(in.getGranted().getAddress())};
+        return out;
+    }
+    constexpr auto last = static_cast<std::uint8_t>(serving::call_refusal::crashes_targets);
+    const std::uint8_t reason = std::min(in.getDenied().getReason(), last);
+    out.result = serving::slot_denied{static_cast<serving::call_refusal>(reason),
+                                      milliseconds(in.getDenied().getRetryAfterMs())};
+    return out;
+}
+
+void write(schema::SlotEnd::Builder out, const serving::slot_end& in)
+{
+    out.setNumber(in.ended.key.number);
+    out.setOutcome(static_cast<std::uint8_t>(in.ended.outcome));
+    out.setFirstEventMs(to_wire(in.ended.first_event.value_or(milliseconds(-1))));
+    out.setDurationMs(to_wire(in.ended.duration));
+    out.setFingerprint(in.fingerprint);
+}
+
+serving::slot_end read(schema::SlotEnd::Reader in, const core::instance_id& sender)
+{
+    serving::slot_end out;
+    out.ended.key = {sender, in.getNumber()};
+    constexpr auto last = static_cast<std::uint8_t>(serving::slot_outcome::cancelled);
+    out.ended.outcome = static_cast<serving::slot_outcome>(std::min(in.getOutcome(), last));
+    if (in.getFirstEventMs() >= 0) {
+        out.ended.first_event = milliseconds(in.getFirstEventMs());
+    }
+    out.ended.duration = milliseconds(in.getDurationMs());
+    out.fingerprint = in.getFingerprint();
+    return out;
+}
+
+void write(schema::Report::Builder out, const serving::instance_report& in)
+{
+    write(out.initSelf(), in.self);
+    out.setReady(in.ready);
+    out.setLeaving(in.leaving);
+    out.setStateVersion(in.state_version);
+    write_partitions(out, in.partitions);
+    auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
+    for (unsigned index = 0; index < in.runs.size(); ++index) {
+        runs[index].setNumber(in.runs[index].number);
+        runs[index].setTarget(in.runs[index].target.value());
+        runs[index].setBatch(in.runs[index].kind == serving::work_kind::batch);
+        runs[index].setSilent(in.runs[index].silent);
+    }
+}
+
+serving::instance_report read(schema::Report::Reader in)
+{
+    serving::instance_report out;
+    out.self = read(in.getSelf());
+    out.ready = in.getReady();
+    out.leaving = in.getLeaving();
+    out.state_version = in.getStateVersion();
+    out.partitions = read_partitions(in);
+    for (const auto run : in.getRuns()) {
+        out.runs.push_back({run.getNumber(), core::target_id(text(run.getTarget())),
+                            run.getBatch() ? serving::work_kind::batch
+                                           : serving::work_kind::online,
+                            run.getSilent()});
+    }
+    return out;
+}
+
+void write(schema::Target::Builder out, const serving::digest_target& in)
+{
+    out.setId(in.entry.id.value());
+    out.setService(in.entry.service.value());
+    out.setAddress(in.entry.address);
+    out.setDataCentre(in.entry.data_centre.value());
+    out.setSlots(in.entry.slots);
+    out.setStartedAt(in.entry.started_at);
+    out.setFreeSlots(in.free_slots);
+}
+
+serving::digest_target read(schema::Target::Reader in)
+{
+    serving::digest_target out;
+    out.entry.id = core::target_id(text(in.getId()));
+    out.entry.service = core::service_id(text(in.getService()));
+    out.entry.address = text(in.getAddress());
+    out.entry.data_centre = core::data_centre_id(text(in.getDataCentre()));
+    out.entry.slots = in.getSlots();
+    out.entry.started_at = in.getStartedAt();
+    out.free_slots = in.getFreeSlots();
+    return out;
+}
+
+void write(schema::Digest::Builder out, const serving::fleet_digest& in)
+{
+    write(out.initLeader(), in.leader);
+    out.setResigning(in.resigning);
+    out.setStateVersion(in.state_version);
+    auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
+    for (unsigned index = 0; index < in.members.size(); ++index) {
+        write(members[index].initMember(), in.members[index].member);
+        members[index].setReady(in.members[index].ready);
+        write_partitions(members[index], in.members[index].partitions);
+    }
+    auto targets = out.initTargets(static_cast<unsigned>(in.targets.size()));
+    for (unsigned index = 0; index < in.targets.size(); ++index) {
+        write(targets[index], in.targets[index]);
+    }
+}
+
+serving::fleet_digest read(schema::Digest::Reader in)
+{
+    serving::fleet_digest out;
+    out.leader = read(in.getLeader());
+    out.resigning = in.getResigning();
+    out.state_version = in.getStateVersion();
+    for (const auto member : in.getMembers()) {
+        out.members.push_back(
+            {read(member.getMember()), member.getReady(), read_partitions(member)});
+    }
+    for (const auto target : in.getTargets()) {
+        out.targets.push_back(read(target));
+    }
+    return out;
+}
+
+serving::peer_message read(schema::Datagram::Reader in, const core::instance_id& sender)
+{
+    switch (in.which()) {
+    case schema::Datagram::SLOT_CALL:
+        return read(in.getSlotCall(), sender);
+    case schema::Datagram::SLOT_REPLY:
+        return read(in.getSlotReply());
+    case schema::Datagram::SLOT_END:
+        return read(in.getSlotEnd(), sender);
+    case schema::Datagram::YIELD_ORDER:
+        return serving::yield_order{in.getYieldOrder()};
+    case schema::Datagram::REPORT:
+        return read(in.getReport());
+    case schema::Datagram::DIGEST:
+        return read(in.getDigest());
+    }
+    throw wire::conversion_error("datagram of an unknown kind");
+}
+
+} // namespace
+
+std::string encode(const serving::peer_message& message)
+{
+    capnp::MallocMessageBuilder builder(64);
+    auto out = builder.initRoot<schema::Datagram>();
+    std::visit(core::visitors{
+                   [&](const serving::slot_call& in) { write(out.initSlotCall(), in); },
+                   [&](const serving::slot_reply& in) { write(out.initSlotReply(), in); },
+                   [&](const serving::slot_end& in) { write(out.initSlotEnd(), in); },
+                   [&](const serving::yield_order& in) { out.setYieldOrder(in.number); },
+                   [&](const serving::instance_report& in) { write(out.initReport(), in); },
+                   [&](const serving::fleet_digest& in) { write(out.initDigest(), in); },
+               },
+               message);
+    return wire::to_bytes(builder);
+}
+
+tl::expected<serving::peer_message, std::string> decode(std::string_view bytes,
+                                                        const core::instance_id& sender)
+{
+    return wire::read_message<schema::Datagram>(
+        bytes, datagram_bytes_max,
+        [&](schema::Datagram::Reader in) -> serving::peer_message { return read(in, sender); });
+}
+
+} // namespace gooseberryfall::fleet_wire
--- /dev/null
+++ b/src/fleet_wire/fleet.capnp
@@ -0,0 +1,148 @@
+@0xc2a9e6d1f3b84707;
+
+# Datagrams between instances, and the records of batch jobs in the platform's store.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("gooseberryfall::fleet_wire::schema");
+
+struct Member {
+  id @0 :Text;
+  name @1 :Text;
+  dataCentre @2 :Text;
+  callersAddress @3 :Text;
+  capacity @4 :Float64;
+  startedAt @5 :Int64;
+}
+
+struct Target {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  slots @4 :UInt32;
+  startedAt @5 :Int64;
+  freeSlots @6 :UInt32;
+}
+
+struct SlotCall {
+  number @0 :UInt64;
+  service @1 :Text;
+  batch @2 :Bool;
+  dataCentre @3 :Text;
+  prefixes @4 :List(UInt64);
+  tokens @5 :UInt32;
+  untilObjectiveMs @6 :Int32;
+  untilEndMs @7 :Int32;
+  returning @8 :Bool;
+  excluded @9 :List(Text);
+  team @10 :Text;
+  fingerprint @11 :UInt64;
+}
+
+struct SlotReply {
+  number @0 :UInt64;
+  union {
+    granted :group {
+      target @1 :Text;
+      address @2 :Text;
+    }
+    denied :group {
+      reason @3 :UInt8;
+      retryAfterMs @4 :Int32;
+    }
+  }
+}
+
+struct SlotEnd {
+  number @0 :UInt64;
+  outcome @1 :UInt8;
+  # Below 0 if there was no event.
+  firstEventMs @2 :Int32;
+  durationMs @3 :Int32;
+  fingerprint @4 :UInt64;
+}
+
+struct Run {
+  number @0 :UInt64;
+  target @1 :Text;
+  batch @2 :Bool;
+  silent @3 :Bool;
+}
+
+struct Report {
+  self @0 :Member;
+  ready @1 :Bool;
+  leaving @2 :Bool;
+  stateVersion @3 :UInt64;
+  partitions @4 :List(UInt32);
+  runs @5 :List(Run);
+}
+
+struct DigestMember {
+  member @0 :Member;
+  ready @1 :Bool;
+  partitions @2 :List(UInt32);
+}
+
+struct Digest {
+  leader @0 :Member;
+  resigning @1 :Bool;
+  stateVersion @2 :UInt64;
+  members @3 :List(DigestMember);
+  targets @4 :List(Target);
+}
+
+struct Datagram {
+  union {
+    slotCall @0 :SlotCall;
+    slotReply @1 :SlotReply;
+    slotEnd @2 :SlotEnd;
+    # Number of the run that has to leave its slot.
+    yieldOrder @3 :UInt64;
+    report @4 :Report;
+    digest @5 :Digest;
+  }
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct JobItem {
+  id @0 :Text;
+  path @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+  tokens @4 :UInt64;
+}
+
+struct Job {
+  id @0 :Text;
+  team @1 :Text;
+  route @2 :Text;
+  items @3 :List(JobItem);
+  # Wall-clock milliseconds.
+  acceptedAt @4 :Int64;
+}
+
+struct JobRecord {
+  union {
+    opened @0 :Job;
+    finished :group {
+      job @1 :Text;
+      position @2 :UInt32;
+      item @3 :UInt32;
+      deadLetter @4 :Bool;
+      output @5 :Data;
+    }
+    closed @6 :Text;
+    advanced :group {
+      job @7 :Text;
+      item @8 :UInt32;
+      # The last event that was received, plus one; 0 if none was.
+      nextEvent @9 :UInt64;
+      text @10 :Data;
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet_wire/fleet_wire.hpp
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "fleet_wire/datagram_codec.hpp"
+#include "fleet_wire/job_codec.hpp"
--- /dev/null
+++ b/src/serving/event_splitter.cpp
@@ -0,0 +1,81 @@
+#include "serving/event_splitter.hpp"
+
+#include <charconv>
+
+namespace gooseberryfall::serving {
+
+namespace {
+
+/// Value of a line `name: value`, or nothing if it is another field.
+std::optional<std::string_view> field_value(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ':') {
+        return std::nullopt;
+    }
+    std::string_view value = line.substr(name.size() + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    return value;
+}
+
+void read_line(std::string_view line, stream_event& event, bool& has_data)
+{
+    if (const auto id = field_value(line, "id")) {
+        std::uint64_t number = 0;
+        const auto result = std::from_chars(id->data(), id->data() + id->size(), number);
+        if (result.ec == std::errc() && result.ptr == id->data() + id->size()) {
+            event.id = number;
+        }
+    }
+    else if (const auto data = field_value(line, "data")) {
+        event.data += has_data ? "\n" : "";
+        event.data += *data;
+        has_data = true;
+    }
+}
+
+/// Length of the first event with its empty line, or nothing if it is not whole. Fills the event.
+std::optional<std::size_t> read_event(std::string_view text, stream_event& event)
+{
+    bool has_data = false;
+    std::size_t begin = 0;
+    for (;;) {
+        const std::size_t end = text.find('\n', begin);
+        if (end == std::string_view::npos) {
+            return std::nullopt;
+        }
+        std::string_view line = text.substr(begin, end - begin);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        begin = end + 1;
+        if (line.empty()) {
+            return begin;
+        }
+        read_line(line, event, has_data);
+    }
+}
+
+} // namespace
+
+std::vector<stream_event> event_splitter::feed(std::string_view bytes)
+{
+    rest_ += bytes;
+    std::vector<stream_event> events;
+    std::size_t begin = 0;
+    for (;;) {
+        stream_event event;
+        const auto length = read_event(std::string_view(rest_).substr(begin), event);
+        if (!length) {
+            break;
+        }
+        event.bytes = rest_.substr(begin, *length);
+        begin += *length;
+        events.push_back(std::move(event));
+    }
+    rest_.erase(0, begin);
+    return events;
+}
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/fleet_placement.cpp
@@ -0,0 +1,169 @@
+#include "serving/fleet_placement.hpp"
+
+#include "core/visitors.hpp"
+
+#include <algorithm>
+
+namespace gooseberryfall::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+core::digest to_digest(std::uint64_t fingerprint)
+{
+    core::digest result{};
+    for (std::size_t byte = 0; byte < sizeof fingerprint; ++byte) {
+        result.at(byte) = static_cast<std::uint8_t>(fingerprint >> (8 * byte));
+    }
+    return result;
+}
+
+call_refusal to_refusal(slot_refusal_reason reason)
+{
+    return reason == slot_refusal_reason::no_target ? call_refusal::no_target
+                                                    : call_refusal::overloaded;
+}
+
+} // namespace
+
+const char* to_text(call_refusal reason)
+{
+    switch (reason) {
+    case call_refusal::overloaded:
+        return "overloaded";
+    case call_refusal::no_target:
+        return "no_target";
+    case call_refusal::over_limit:
+        return "over_limit";
+    case call_refusal::crashes_targets:
+        return "crashes_targets";
+    }
+    return "unknown";
+}
+
+fleet_placement::fleet_placement(scheduler_settings settings, double limit_share)
+    : slots_(settings), limits_(limit_share), crashes_(core::quarantine_settings{})
+{
+}
+
+void fleet_placement::set_state(const desired_state& state, core::time_point now)
+{
+    std::map<core::team_id, team_limit> limits;
+    for (const customer_team& team : state.teams) {
+        limits[team.id] = {team.rate, team.burst};
+    }
+    limits_.set(limits, now);
+}
+
+void fleet_placement::set_targets(const std::vector<target_entry>& targets, core::time_point now)
+{
+    slots_.set_targets(targets, now);
+}
+
+void fleet_placement::restart(double limit_level, core::time_point now)
+{
+    slots_.clear_work();
+    limits_.restart(limit_level, now);
+    calls_.clear();
+    call_order_.clear();
+}
+
+fleet_placement::known_call& fleet_placement::remember(const run_key& key,
+                                                       const core::team_id& team)
+{
+    call_order_.push_back(key);
+    if (call_order_.size() > calls_max) {
+        calls_.erase(call_order_.front());
+        call_order_.pop_front();
+    }
+    known_call& entry = calls_[key];
+    entry.team = team;
+    return entry;
+}
+
+std::vector<addressed_message> fleet_placement::on_call(const slot_call& call, core::time_point now)
+{
+    const run_key& key = call.question.key;
+    const auto known = calls_.find(key);
+    if (known != calls_.end() && known->second.refused) {
+        return {{key.instance, *known->second.refused}};
+    }
+    if (known == calls_.end() && call.question.kind == work_kind::online) {
+        known_call& entry = remember(key, call.team);
+        const core::digest fingerprint = to_digest(call.fingerprint);
+        if (crashes_.rule(fingerprint, now) == core::quarantine_ruling::refuse) {
+            const auto delay =
+                std::chrono::ceil<milliseconds>(crashes_.remaining(fingerprint, now));
+            entry.refused =
+                slot_reply{key.number, slot_denied{call_refusal::crashes_targets, delay}};
+            return {{key.instance, *entry.refused}};
+        }
+        if (const auto delay = limits_.take(call.team, now)) {
+            entry.refused = slot_reply{key.number, slot_denied{call_refusal::over_limit, *delay}};
+            return {{key.instance, *entry.refused}};
+        }
+    }
+    return to_messages(slots_.ask(call.question, now), now);
+}
+
+std::vector<addressed_message> fleet_placement::on_end(const slot_end& end, core::time_point now)
+{
+    const bool died =
+        end.ended.outcome == slot_outcome::broken || end.ended.outcome == slot_outcome::silent;
+    if (end.fingerprint != 0 && died) {
+        crashes_.on_death(to_digest(end.fingerprint), false, now);
+    }
+    if (end.fingerprint != 0 && end.ended.outcome == slot_outcome::completed) {
+        crashes_.on_success(to_digest(end.fingerprint));
+    }
+    return to_messages(slots_.give_back(end.ended, now), now);
+}
+
+std::vector<addressed_message>
+fleet_placement::on_report(const core::instance_id& from, const std::vector<reported_run>& runs,
+                           core::time_point now)
+{
+    return to_messages(slots_.reconcile(from, runs, now), now);
+}
+
+std::vector<addressed_message> fleet_placement::forget_instance(const core::instance_id& instance,
+                                                                core::time_point now)
+{
+    return to_messages(slots_.forget_instance(instance, now), now);
+}
+
+std::vector<addressed_message> fleet_placement::tick(core::time_point now)
+{
+    return to_messages(slots_.tick(now), now);
+}
+
+std::vector<addressed_message> fleet_placement::to_messages(const slot_decisions& decisions,
+                                                            core::time_point now)
+{
+    std::vector<addressed_message> result;
+    const auto on_grant = [&](const slot_grant& grant) {
+        result.push_back({grant.key.instance,
+                          slot_reply{grant.key.number, slot_granted{grant.target, grant.address}}});
+    };
+    const auto on_refusal = [&](const slot_refusal& refusal) {
+        const slot_reply reply{refusal.key.number,
+                               slot_denied{to_refusal(refusal.reason), refusal.retry_after}};
+        const auto known = calls_.find(refusal.key);
+        if (known != calls_.end()) {
+            known->second.refused = reply;
+            // The request has not run and is charged again if it returns.
+            limits_.give_back(known->second.team, now);
+        }
+        result.push_back({refusal.key.instance, reply});
+    };
+    const auto on_yield = [&](const slot_yield& yield) {
+        result.push_back({yield.key.instance, yield_order{yield.key.number}});
+    };
+    for (const slot_decision& decision : decisions) {
+        std::visit(core::visitors{on_grant, on_refusal, on_yield}, decision);
+    }
+    return result;
+}
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/fleet_placement.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/quarantine.hpp"
+#include "serving/desired_state.hpp"
+#include "serving/peer_messages.hpp"
+#include "serving/slot_scheduler.hpp"
+#include "serving/team_limits.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberryfall::serving {
+
+/// A message and the instance that it is for.
+struct addressed_message {
+    core::instance_id to;
+    peer_message message;
+};
+
+/// Answers the calls for slots of all instances: rate of the team, requests that crash targets,
+/// then a slot. Deterministic; not thread-safe.
+class fleet_placement {
+public:
+    explicit fleet_placement(scheduler_settings settings = {}, double limit_share = 1.0);
+
+    /// Takes the limits of the teams from a desired state.
+    void set_state(const desired_state& state, core::time_point now);
+
+    /// Replaces the targets.
+    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+
+    /// Begins to place for others with an empty memory. Limits start at a part of their burst.
+    void restart(double limit_level, core::time_point now);
+
+    /// Sets the part of the limits that is given out here.
+    void set_limit_share(double share, core::time_point now) { limits_.set_share(share, now); }
+
+    std::vector<addressed_message> on_call(const slot_call& call, core::time_point now);
+    std::vector<addressed_message> on_end(const slot_end& end, core::time_point now);
+    std::vector<addressed_message> on_report(const core::instance_id& from,
+                                             const std::vector<reported_run>& runs,
+                                             core::time_point now);
+    std::vector<addressed_message> forget_instance(const core::instance_id& instance,
+                                                   core::time_point now);
+    std::vector<addressed_message> tick(core::time_point now);
+
+    const slot_scheduler& slots() const { return slots_; }
+
+private:
+    struct known_call {
+        core::team_id team;
+        std::optional<slot_reply> refused;
+    };
+
+    /// Calls remembered, so that a repeated one is neither charged nor decided again.
+    static constexpr std::size_t calls_max = 4096;
+
+    std::vector<addressed_message> to_messages(const slot_decisions& decisions,
+                                               core::time_point now);
+    known_call& remember(const run_key& key, const core::team_id& team);
+
+    slot_scheduler slots_;
+    team_limits limits_;
+    core::quarantine crashes_;
+    std::map<run_key, known_call> calls_;
+    std::deque<run_key> call_order_;
+};
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/job_ledger.cpp
@@ -0,0 +1,352 @@
+#include "serving/job_ledger.hpp"
+
+#include "core/visitors.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace gooseberryfall::serving {
+
+namespace {
+
+/// Doublings after which the pause has reached its maximum in any setting.
+constexpr std::uint32_t doublings_max = 5;
+
+} // namespace
+
+void job_ledger::load(job_record record)
+{
+    if (auto* opened = std::get_if<job_opened>(&record)) {
+        job_entry& entry = jobs_[opened->job.id];
+        entry.team = opened->job.team;
+        entry.route = opened->job.route;
+        entry.accepted_at = opened->accepted_at;
+        entry.items.clear();
+        for (job_item& item : opened->job.items) {
+            item_entry added;
+            added.spec = std::move(item);
+            entry.items.push_back(std::move(added));
+        }
+        return;
+    }
+    early_.push_back(std::move(record));
+}
+
+void job_ledger::finish_loading()
+{
+    const auto find_job = [this](const std::string& id) -> job_entry* {
+        const auto found = jobs_.find(id);
+        return found == jobs_.end() ? nullptr : &found->second;
+    };
+    const auto on_finished = [&](item_finished& finished) {
+        job_entry* job = find_job(finished.job);
+        if (job == nullptr || finished.result.item >= job->items.size()) {
+            return;
+        }
+        if (job->results.size() <= finished.position) {
+            job->results.resize(finished.position + 1);
+            job->written.resize(finished.position + 1, false);
+        }
+        job->items[finished.result.item].finished = true;
+        job->results[finished.position] = std::move(finished.result);
+        job->written[finished.position] = true;
+    };
+    const auto on_closed = [&](const job_closed& closed) {
+        if (job_entry* job = find_job(closed.job)) {
+            job->closed = true;
+        }
+    };
+    const auto on_advanced = [&](item_advanced& advanced) {
+        job_entry* job = find_job(advanced.job);
+        if (job != nullptr && advanced.item < job->items.size()) {
+            item_entry& item = job->items[advanced.item];
+            item.written_progress = advanced.progress.text.size();
+            item.progress = std::move(advanced.progress);
+        }
+    };
+    for (job_record& record : early_) {
+        std::visit(core::visitors{[](const job_opened&) {}, on_finished, on_closed, on_advanced},
+                   record);
+    }
+    early_.clear();
+    for (auto& [id, job] : jobs_) {
+        count_confirmed(job);
+    }
+}
+
+void job_ledger::count_confirmed(job_entry& job)
+{
+    while (job.confirmed < job.written.size() && job.written[job.confirmed]) {
+        ++job.confirmed;
+    }
+}
+
+accept_verdict job_ledger::accept(const job_submission& job, core::wall_time now,
+                                  std::uint64_t waiting_max, std::optional<job_record>& record)
+{
+    const auto known = jobs_.find(job.id);
+    if (known != jobs_.end()) {
+        return known->second.opening ? accept_verdict::opening : accept_verdict::known;
+    }
+    std::uint64_t added = 0;
+    for (const job_item& item : job.items) {
+        added += item.tokens;
+    }
+    const bool limited = waiting_max > 0;
+    if (limited && waiting_tokens(job.team, job.route) + added > waiting_max) {
+        return accept_verdict::over_limit;
+    }
+    load(job_opened{job, now});
+    jobs_.at(job.id).opening = true;
+    record = job_opened{job, now};
+    return accept_verdict::opened;
+}
+
+void job_ledger::confirm_opened(const std::string& job)
+{
+    const auto found = jobs_.find(job);
+    if (found != jobs_.end()) {
+        found->second.opening = false;
+    }
+}
+
+void job_ledger::drop_opening(const std::string& job)
+{
+    const auto found = jobs_.find(job);
+    if (found != jobs_.end() && found->second.opening) {
+        jobs_.erase(found);
+    }
+}
+
+bool job_ledger::has(const std::string& job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && !found->second.opening;
+}
+
+core::team_id job_ledger::team_of(const std::string& job) const
+{
+    return has(job) ? jobs_.at(job).team : core::team_id();
+}
+
+std::string job_ledger::route_of(const std::string& job) const
+{
+    return has(job) ? jobs_.at(job).route : std::string();
+}
+
+std::optional<job_record> job_ledger::close(const std::string& job)
+{
+    job_entry& entry = jobs_.at(job);
+    if (entry.closed) {
+        return std::nullopt;
+    }
+    entry.closed = true;
+    return job_closed{job};
+}
+
+bool job_ledger::is_closed(const std::string& job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && found->second.closed;
+}
+
+std::vector<runnable_item>
+job_ledger::runnable(const std::map<std::string, std::chrono::milliseconds>& objectives,
+                     std::size_t limit, core::time_point now) const
+{
+    std::vector<runnable_item> result;
+    for (const auto& [id, job] : jobs_) {
+        const auto objective = objectives.find(job.route);
+        if (job.opening || job.closed || objective == objectives.end()) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+            const item_entry& item = job.items[index];
+            if (!item.finished && !item.running && now >= item.paused_until) {
+                result.push_back(
+                    {{id, index}, job.accepted_at + objective->second, item.spec.tokens});
+            }
+        }
+    }
+    const auto earlier = [](const runnable_item& a, const runnable_item& b) {
+        return std::tie(a.due_at, a.key) < std::tie(b.due_at, b.key);
+    };
+    const std::size_t count = std::min(limit, result.size());
+    std::partial_sort(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(count),
+                      result.end(), earlier);
+    result.resize(count);
+    return result;
+}
+
+job_ledger::item_entry* job_ledger::find(const item_key& key)
+{
+    const auto found = jobs_.find(key.job);
+    if (found == jobs_.end() || key.item >= found->second.items.size()) {
+        return nullptr;
+    }
+    return &found->second.items[key.item];
+}
+
+void job_ledger::set_running(const item_key& key, bool running)
+{
+    if (item_entry* item = find(key)) {
+        item->running = running;
+    }
+}
+
+std::uint32_t job_ledger::record_failure(const item_key& key, bool counts, core::time_point now)
+{
+    item_entry* item = find(key);
+    if (item == nullptr) {
+        return 0;
+    }
+    item->running = false;
+    const std::uint32_t doublings = std::min(item->pauses, doublings_max);
+    const auto pause = settings_.first_pause * (1U << doublings);
+    item->paused_until = now + std::min<std::chrono::milliseconds>(pause, settings_.pause_max);
+    ++item->pauses;
+    item->failures += counts ? 1 : 0;
+    return item->failures;
+}
+
+void job_ledger::advance(const item_key& key, item_progress progress)
+{
+    if (item_entry* item = find(key)) {
+        item->progress = std::move(progress);
+        item->pauses = 0;
+    }
+}
+
+std::optional<job_record> job_ledger::finish(const item_key& key, result_state state,
+                                             std::string output)
+{
+    item_entry* item = find(key);
+    if (item == nullptr || item->finished) {
+        return std::nullopt;
+    }
+    job_entry& job = jobs_.at(key.job);
+    item->finished = true;
+    item->running = false;
+    item->progress = {};
+    const auto position = static_cast<std::uint32_t>(job.results.size());
+    job.results.push_back({key.item, state, std::move(output)});
+    job.written.push_back(false);
+    return item_finished{key.job, position, job.results.back()};
+}
+
+void job_ledger::confirm_finished(const std::string& job, std::uint32_t position)
+{
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end() || position >= found->second.written.size()) {
+        return;
+    }
+    found->second.written[position] = true;
+    count_confirmed(found->second);
+}
+
+std::vector<job_record> job_ledger::progress_records(std::size_t step)
+{
+    std::vector<job_record> records;
+    for (auto& [id, job] : jobs_) {
+        if (job.opening || job.closed) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+            item_entry& item = job.items[index];
+            const std::size_t size = item.progress.text.size();
+            if (!item.finished && size >= item.written_progress + step) {
+                item.written_progress = size;
+                records.emplace_back(item_advanced{id, index, item.progress});
+            }
+        }
+    }
+    return records;
+}
+
+const job_item& job_ledger::item(const item_key& key) const
+{
+    return jobs_.at(key.job).items.at(key.item).spec;
+}
+
+const item_progress& job_ledger::progress(const item_key& key) const
+{
+    return jobs_.at(key.job).items.at(key.item).progress;
+}
+
+core::wall_time job_ledger::accepted_at(const std::string& job) const
+{
+    return jobs_.at(job).accepted_at;
+}
+
+const std::string* job_ledger::open_body(const std::string& job, const std::string& item) const
+{
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end() || found->second.opening) {
+        return nullptr;
+    }
+    for (const item_entry& entry : found->second.items) {
+        if (entry.spec.id == item) {
+            return &entry.spec.body;
+        }
+    }
+    return nullptr;
+}
+
+std::uint32_t job_ledger::item_count(const std::string& job) const
+{
+    return has(job) ? static_cast<std::uint32_t>(jobs_.at(job).items.size()) : 0;
+}
+
+std::vector<job_result> job_ledger::results(const std::string& job, std::uint32_t from,
+                                            std::size_t bytes_max) const
+{
+    std::vector<job_result> result;
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end()) {
+        return result;
+    }
+    std::size_t bytes = 0;
+    for (std::uint32_t position = from; position < found->second.confirmed; ++position) {
+        const job_result& entry = found->second.results[position];
+        bytes += entry.output.size();
+        if (!result.empty() && bytes > bytes_max) {
+            break;
+        }
+        result.push_back(entry);
+    }
+    return result;
+}
+
+std::vector<item_key> job_ledger::open_item_keys() const
+{
+    std::vector<item_key> keys;
+    for (const auto& [id, job] : jobs_) {
+        for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+            if (!job.opening && !job.closed && !job.items[index].finished) {
+                keys.push_back({id, index});
+            }
+        }
+    }
+    return keys;
+}
+
+std::size_t job_ledger::open_items() const
+{
+    return open_item_keys().size();
+}
+
+std::uint64_t job_ledger::waiting_tokens(const core::team_id& team, const std::string& route) const
+{
+    std::uint64_t total = 0;
+    for (const auto& [id, job] : jobs_) {
+        if (job.closed || job.team != team || job.route != route) {
+            continue;
+        }
+        for (const item_entry& item : job.items) {
+            total += item.finished ? 0 : item.spec.tokens;
+        }
+    }
+    return total;
+}
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/peer_messages.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "serving/leadership.hpp"
+#include "serving/slot_scheduler.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gooseberryfall::serving {
+
+// What instances tell each other in datagrams. Any of them may be lost, late or repeated.
+
+/// Asks the leader for a slot. Repeated until it is answered.
+struct slot_call {
+    /// The instance in its key is the sender.
+    slot_question question;
+    /// Team whose rate the request counts against; empty if none.
+    core::team_id team;
+    /// Hash of team, path and body, equal for a request that is sent again.
+    std::uint64_t fingerprint = 0;
+};
+
+/// Why a request gets no slot.
+enum class call_refusal { overloaded, no_target, over_limit, crashes_targets };
+
+/// Text of a reason for logs and answers. Thread-safe.
+const char* to_text(call_refusal reason);
+
+/// A slot is free.
+struct slot_granted {
+    core::target_id target;
+    /// `ip:port`.
+    std::string address;
+};
+
+/// There is no slot, and the request has not been sent anywhere.
+struct slot_denied {
+    call_refusal reason = call_refusal::overloaded;
+    std::chrono::milliseconds retry_after{0};
+};
+
+/// Answers a call.
+struct slot_reply {
+    std::uint64_t number = 0;
+    std::variant<slot_granted, slot_denied> result;
+};
+
+/// A run has ended, or a call is withdrawn.
+struct slot_end {
+    slot_return ended;
+    std::uint64_t fingerprint = 0;
+};
+
+/// A batch run has to leave its slot.
+struct yield_order {
+    std::uint64_t number = 0;
+};
+
+/// State of an instance, sent to the leader.
+struct instance_report {
+    fleet_member self;
+    /// Whether callers may be sent to it.
+    bool ready = false;
+    bool leaving = false;
+    std::uint64_t state_version = 0;
+    /// Job partitions that it owns.
+    std::vector<std::uint32_t> partitions;
+    std::vector<reported_run> runs;
+};
+
+/// An instance as the leader knows it.
+struct digest_member {
+    fleet_member member;
+    bool ready = false;
+    std::vector<std::uint32_t> partitions;
+};
+
+/// A target as the leader knows it.
+struct digest_target {
+    target_entry entry;
+    std::uint32_t free_slots = 0;
+};
+
+/// State of the fleet, sent by the leader to all instances.
+struct fleet_digest {
+    fleet_member leader;
+    /// The sender stops to lead.
+    bool resigning = false;
+    std::uint64_t state_version = 0;
+    std::vector<digest_member> members;
+    std::vector<digest_target> targets;
+};
+
+using peer_message = std::variant<slot_call, slot_reply, slot_end, yield_order, instance_report,
+                                  fleet_digest>;
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/slot_scheduler.hpp
@@ -0,0 +1,256 @@
+#pragma once
+
+#include "serving/return_planner.hpp"
+#include "serving/target_directory.hpp"
+#include "serving/target_health.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gooseberryfall::serving {
+
+/// Whether a caller waits for the answer, or a batch item is run for later.
+enum class work_kind { online, batch };
+
+/// Names one use of a slot: the instance that runs it and that instance's number for it.
+struct run_key {
+    core::instance_id instance;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const run_key&) const = default;
+};
+
+/// Asks for a slot at a target.
+struct slot_question {
+    run_key key;
+    core::service_id service;
+    work_kind kind = work_kind::online;
+    /// Data centre of the asking instance.
+    core::data_centre_id data_centre;
+    /// Hashes of the leading parts of the prompt, each including the parts before it.
+    std::vector<std::uint64_t> prefixes;
+    /// Tokens that are expected to be generated.
+    std::uint32_t tokens = 0;
+    /// Online: time until the first event is late.
+    std::chrono::milliseconds until_objective{0};
+    /// Online: time until the request is given up. Batch: until the result is due.
+    std::chrono::milliseconds until_end{0};
+    /// Online: whether the caller was refused before and will not come again.
+    bool returning = false;
+    /// Targets that have failed this work.
+    std::vector<core::target_id> excluded;
+};
+
+/// A slot is free for the work.
+struct slot_grant {
+    run_key key;
+    core::target_id target;
+    /// `ip:port`.
+    std::string address;
+};
+
+/// Why there is no slot.
+enum class slot_refusal_reason {
+    /// No slot becomes free in time.
+    overloaded,
+    /// The service has no target that can be used.
+    no_target,
+};
+
+/// The work gets no slot and has not been sent anywhere.
+struct slot_refusal {
+    run_key key;
+    slot_refusal_reason reason = slot_refusal_reason::overloaded;
+    std::chrono::milliseconds retry_after{0};
+};
+
+/// The batch run has to leave its slot and may ask again.
+struct slot_yield {
+    run_key key;
+};
+
+using slot_decision = std::variant<slot_grant, slot_refusal, slot_yield>;
+using slot_decisions = std::vector<slot_decision>;
+
+/// A run that an instance reports to be under way.
+struct reported_run {
+    std::uint64_t number = 0;
+    core::target_id target;
+    work_kind kind = work_kind::online;
+    /// No byte has come for so long that the target seems to be silent.
+    bool silent = false;
+};
+
+/// End of a run.
+struct slot_return {
+    run_key key;
+    slot_outcome outcome = slot_outcome::completed;
+    /// Time from the sending to the first event; unset if there was none.
+    std::optional<std::chrono::milliseconds> first_event;
+    /// Time from the sending to the end.
+    std::chrono::milliseconds duration{0};
+};
+
+/// Settings of `slot_scheduler`.
+struct scheduler_settings {
+    /// A batch run with less slack than this keeps its slot when online work needs one, since it
+    /// would have to be taken again almost at once.
+    std::chrono::milliseconds yield_margin{1500};
+    /// A batch item with less slack goes before online work.
+    std::chrono::milliseconds urgent_margin{900};
+    /// Time beyond its objective for which a returning request still waits: it cannot come again.
+    std::chrono::milliseconds late_patience{700};
+    /// Time until the first event after the sending, before any has been measured.
+    std::chrono::milliseconds first_event_guess{60};
+    /// Milliseconds for a token before any has been measured.
+    double token_time_guess = 4.0;
+    /// A run that its instance does not report for this long has ended without a word.
+    std::chrono::milliseconds unreported_max{900};
+    /// A waiting batch item that is not asked for again is dropped after this time.
+    std::chrono::milliseconds batch_question_lifetime{3000};
+    /// A target that needs this many times the usual time for a token is used last.
+    double slow_factor = 2.0;
+    /// Part of a service's targets that may be set aside for a share of failed requests.
+    double set_aside_max = 0.34;
+    health_settings health;
+};
+
+/// Numbers for metrics and logs.
+struct scheduler_state {
+    std::size_t targets = 0;
+    std::size_t slots = 0;
+    std::size_t online_running = 0;
+    std::size_t batch_running = 0;
+    std::size_t online_waiting = 0;
+    std::size_t batch_waiting = 0;
+};
+
+/// Decides which work gets which slot of the targets, for a whole fleet.
+///
+/// Load pattern: online requests come in steps that need from a fifth to nearly all of the slots,
+/// while batch items fill what is left and are due some seconds later. Targets admit requests in
+/// order of arrival and know no priorities, so the queue is kept here and a target gets no more
+/// work than it has slots:
+/// - an online request takes a free slot at once, or that of the batch run with the most slack;
+/// - a batch item near its due time goes before online work and keeps its slot;
+/// - an online request whose first event cannot come in time is refused at its arrival, with a time
+///   to come back, while a refusal still costs its caller little.
+/// Deterministic; not thread-safe.
+class slot_scheduler {
+public:
+    explicit slot_scheduler(scheduler_settings settings = {}) : settings_(settings) {}
+
+    /// Replaces the targets that may be used. Runs at others go on.
+    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+
+    /// Asks for a slot. A repeated question gets the same grant again.
+    slot_decisions ask(const slot_question& question, core::time_point now);
+
+    /// The work does not need a slot any more and has none.
+    void withdraw(const run_key& key);
+
+    /// A run has ended.
+    slot_decisions give_back(const slot_return& ended, core::time_point now);
+
+    /// All runs that an instance has under way. Unknown ones are learnt; known ones that are
+    /// missing have ended. `sent_before` excuses grants that were still on their way.
+    slot_decisions reconcile(const core::instance_id& instance,
+                             const std::vector<reported_run>& runs, core::time_point now);
+
+    /// An instance is gone; its connections to the targets ended with it.
+    slot_decisions forget_instance(const core::instance_id& instance, core::time_point now);
+
+    /// Refuses what has become hopeless and fills free slots. To be called every 20 ms or so.
+    slot_decisions tick(core::time_point now);
+
+    /// Forgets runs and questions, but not what is known of the targets.
+    void clear_work();
+
+    /// Whether a key has a slot.
+    bool holds(const run_key& key) const { return runs_.contains(key); }
+
+    scheduler_state state() const;
+
+    /// Free slots of a target now, for others that place without this scheduler.
+    std::uint32_t free_slots(const core::target_id& id, core::time_point now) const;
+
+private:
+    struct target_state {
+        target_entry entry;
+        target_health health;
+        std::uint32_t running = 0;
+        /// Leading prompt parts sent there last, newest at the back.
+        std::deque<std::uint64_t> prefixes;
+    };
+    struct run {
+        core::target_id target;
+        core::service_id service;
+        work_kind kind = work_kind::online;
+        std::uint32_t tokens = 0;
+        core::time_point granted_at;
+        core::time_point seen_at;
+        /// Batch: when the result is due.
+        core::time_point due_at;
+        bool yielding = false;
+    };
+    struct waiting_work {
+        slot_question question;
+        core::time_point asked_at;
+        core::time_point objective_at;
+        core::time_point end_at;
+    };
+    /// Targets and waiting work of one service.
+    struct lane {
+        std::map<core::target_id, target_state> targets;
+        std::vector<waiting_work> online;
+        std::vector<waiting_work> batch;
+        return_planner returns;
+        /// Running averages over all targets; 0 until measured.
+        double first_event = 0;
+        double token_time = 0;
+        double online_duration = 0;
+    };
+
+    lane& lane_of(const core::service_id& service) { return lanes_[service]; }
+    core::duration expected_duration(const lane& of, std::uint32_t tokens) const;
+    core::duration expected_first_event(const lane& of) const;
+    core::duration remaining(const lane& of, const run& entry, core::time_point now) const;
+    core::duration slack(const lane& of, const run& entry, core::time_point now) const;
+    core::duration slack(const lane& of, const waiting_work& work, core::time_point now) const;
+    std::size_t usable_slots(const lane& of, core::time_point now) const;
+    bool usable(const lane& of, const target_state& target, core::time_point now) const;
+    std::uint32_t free_slots(const lane& of, const target_state& target,
+                             core::time_point now) const;
+    target_state* choose_target(lane& of, const slot_question& question, core::time_point now);
+    std::optional<run_key> choose_victim(const lane& of, const slot_question& question,
+                                         core::time_point now) const;
+    core::duration predicted_wait(const lane& of, const core::service_id& service,
+                                  std::size_t ahead, core::time_point now) const;
+    bool try_place(lane& of, const slot_question& question, core::time_point now,
+                   slot_decisions& out);
+    void grant(lane& of, target_state& target, const slot_question& question,
+               core::time_point due_at, core::time_point now, slot_decisions& out);
+    void refuse(lane& of, const slot_question& question, core::time_point now,
+                slot_refusal_reason reason, slot_decisions& out);
+    void refuse_hopeless(const core::service_id& service, lane& of, core::time_point now,
+                         slot_decisions& out);
+    void fill(const core::service_id& service, lane& of, core::time_point now,
+              slot_decisions& out);
+    waiting_work* next_online(lane& of, core::time_point now, bool late);
+    waiting_work* next_batch(lane& of, core::time_point now, bool urgent_only);
+    void release(std::map<run_key, run>::iterator position);
+    void measure(lane& of, const run& entry, const slot_return& ended);
+
+    scheduler_settings settings_;
+    std::map<core::service_id, lane> lanes_;
+    std::map<run_key, run> runs_;
+};
+
+} // namespace gooseberryfall::serving
--- /dev/null
+++ b/src/serving/team_limits.cpp
@@ -0,0 +1,88 @@
+#include "serving/team_limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberryfall::serving {
+
+namespace {
+
+/// A bucket below one request could never give out anything.
+constexpr double least_burst = 1.0;
+
+} // namespace
+
+void team_limits::fill(bucket& from, core::time_point now) const
+{
+    const double seconds = std::chrono::duration<double>(now - from.filled_at).count();
+    const double capacity = std::max(least_burst, from.limit.burst * share_);
+    from.level = std::min(capacity, from.level + seconds * from.limit.rate * share_);
+    from.filled_at = now;
+}
+
+void team_limits::set(const std::map<core::team_id, team_limit>& limits, core::time_point now)
+{
+    std::erase_if(buckets_, [&](const auto& entry) { return !limits.contains(entry.first); });
+    for (const auto& [team, limit] : limits) {
+        const auto [position, added] = buckets_.try_emplace(team);
+        bucket& entry = position->second;
+        if (added) {
+            entry.filled_at = now;
+            entry.level = limit.burst * share_;
+        }
+        fill(entry, now);
+        entry.limit = limit;
+        fill(entry, now);
+    }
+}
+
+void team_limits::set_share(double share, core::time_point now)
+{
+    if (share == share_) {
+        return;
+    }
+    for (auto& [team, entry] : buckets_) {
+        fill(entry, now);
+    }
+    share_ = share;
+    for (auto& [team, entry] : buckets_) {
+        fill(entry, now);
+    }
+}
+
+void team_limits::restart(double level, core::time_point now)
+{
+    for (auto& [team, entry] : buckets_) {
+        entry.level = entry.limit.burst * share_ * level;
+        entry.filled_at = now;
+    }
+}
+
+std::optional<std::chrono::milliseconds> team_limits::take(const core::team_id& team,
+                                                           core::time_point now)
+{
+    const auto found = buckets_.find(team);
+    if (found == buckets_.end() || found->second.limit.rate <= 0) {
+        return std::nullopt;
+    }
+    bucket& entry = found->second;
+    fill(entry, now);
+    if (entry.level >= 1.0) {
+        entry.level -= 1.0;
+        return std::nullopt;
+    }
+    const double seconds = (1.0 - entry.level) / (entry.limit.rate * share_);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(seconds * 1000)));
+}
+
+void team_limits::give_back(const core::team_id& team, core::time_point now)
+{
+    const auto found = buckets_.find(team);
+    if (found != buckets_.end()) {
+        fill(found->second, now);
+        found->second.level += 1.0;
+        fill(found->second, now);
+    }
+}
+
+} // namespace gooseberryfall::serving
