--- /dev/null
+++ b/src/edge/caller_gateway.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "edge/edge_context.hpp"
+#include "edge/job_service.hpp"
+#include "edge/online_exchange.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace gooseberryfall::edge {
+
+/// Takes the requests of callers: decodes them, finds route and team, and hands them on. For the
+/// loop's thread.
+class caller_gateway {
+public:
+    caller_gateway(edge_context& context, job_service& jobs);
+
+    /// Handles one request.
+    void handle(http::request received, std::shared_ptr<http::responder> caller);
+
+    /// Requests that have no final answer yet.
+    std::size_t open() const { return open_; }
+
+private:
+    void refuse(const caller_request& request, refusal_reason reason,
+                const std::shared_ptr<http::responder>& caller);
+    void handle_online(admitted_request request, std::shared_ptr<http::responder> caller);
+    void handle_job(const caller_request& request, const serving::route* route,
+                    const core::team_id& team, std::shared_ptr<http::responder> caller);
+    bool is_returning(const serving::route& route, const caller_request& request);
+    void count(const exchange_end& end);
+
+    edge_context& context_;
+    job_service& jobs_;
+    std::size_t open_ = 0;
+    /// Longest time limit that callers of a route have sent: first attempts have all of it.
+    std::map<std::string, std::chrono::milliseconds> full_limits_;
+    std::map<std::string, kernel::counter*> refused_;
+    kernel::counter& received_;
+    kernel::counter& answered_;
+    kernel::counter& broken_off_;
+    kernel::latency_histogram& first_byte_;
+    kernel::latency_histogram& duration_;
+};
+
+} // namespace gooseberryfall::edge
--- /dev/null
+++ b/src/edge/edge_node.cpp
@@ -0,0 +1,544 @@
+#include "edge/edge_node.hpp"
+
+#include "http/transport.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <iostream>
+#include <utility>
+
+namespace gooseberryfall::edge {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Between two ticks: a request that became hopeless is refused within this time.
+constexpr milliseconds tick_interval{20};
+
+/// Callers' idle connections are kept a little longer than the desired state allows them to be
+/// idle, so that the caller closes first.
+constexpr milliseconds caller_idle{75000};
+
+constexpr std::size_t caller_answer_buffer = 128U << 10U;
+
+constexpr const char* state_path = "/state";
+constexpr const char* metrics_path = "/metrics";
+constexpr const char* version_header = "Fleet-State-Version";
+
+http::client_settings peer_client_settings()
+{
+    http::client_settings settings;
+    settings.pool_size = 8;
+    settings.unacknowledged_max = milliseconds(1500);
+    return settings;
+}
+
+http::client_settings target_client_settings(const edge_settings& from)
+{
+    http::client_settings settings;
+    settings.pool_size = from.target_pool;
+    settings.recent_idle = from.target_recent_idle;
+    settings.idle_max = from.target_recent_idle * 2;
+    settings.unacknowledged_max = milliseconds(1500);
+    settings.accept_unframed = true;
+    return settings;
+}
+
+} // namespace
+
+edge_node::builder& edge_node::builder::with_settings(edge_settings settings)
+{
+    settings_ = std::move(settings);
+    return *this;
+}
+
+edge_node::builder& edge_node::builder::with_protocol(std::unique_ptr<protocol> translator)
+{
+    translator_ = std::move(translator);
+    return *this;
+}
+
+edge_node::builder&
+edge_node::builder::with_store(std::function<std::unique_ptr<store>(http::event_loop&)> make_store)
+{
+    make_store_ = std::move(make_store);
+    return *this;
+}
+
+edge_node::builder& edge_node::builder::with_log(kernel::logger_settings settings)
+{
+    log_ = settings;
+    return *this;
+}
+
+std::unique_ptr<edge_node> edge_node::builder::build()
+{
+    assert(translator_ != nullptr && make_store_ != nullptr);
+    if (log_.out == nullptr) {
+        log_.out = &std::cout;
+    }
+    auto loop = std::make_unique<http::event_loop>("edge");
+    auto durable = make_store_(*loop);
+    return std::unique_ptr<edge_node>(new edge_node(
+        std::move(settings_), std::move(translator_), std::move(durable), std::move(loop),
+        std::make_unique<kernel::logger>(log_), std::make_unique<kernel::metrics>()));
+}
+
+edge_node::edge_node(edge_settings settings, std::unique_ptr<protocol> translator,
+                     std::unique_ptr<store> durable, std::unique_ptr<http::event_loop> loop,
+                     std::unique_ptr<kernel::logger> logger,
+                     std::unique_ptr<kernel::metrics> metrics)
+    : settings_(std::move(settings)), loop_(std::move(loop)), logger_(std::move(logger)),
+      metrics_(std::move(metrics)), translator_(std::move(translator)), store_(std::move(durable))
+{
+    const serving::fleet_member& self = settings_.self;
+    targets_client_ = std::make_unique<http::client>(*loop_, target_client_settings(settings_));
+    peers_client_ = std::make_unique<http::client>(*loop_, peer_client_settings());
+    fleet_callbacks callbacks;
+    callbacks.condition = [this] { return condition(); };
+    callbacks.on_work_message = [this](const serving::peer_message& message) {
+        desk_->on_message(message);
+    };
+    callbacks.on_newer_state = [this](const core::instance_id& from, std::uint64_t version) {
+        fetch_state(from, version);
+    };
+    callbacks.on_member_gone = [this](const serving::fleet_member& member) {
+        registry_->remove(member);
+    };
+    fleet_ = std::make_unique<fleet_service>(*loop_, *logger_, *metrics_, settings_.fleet, self,
+                                             std::move(callbacks));
+    // Numbers of an earlier process at this address are lower: it made fewer than a thousand in
+    // each millisecond.
+    const auto first_number = static_cast<std::uint64_t>(self.started_at) * 1000;
+    desk_ = std::make_unique<slot_desk>(*fleet_, *logger_, settings_.desk, first_number);
+    context_ = std::make_unique<edge_context>(
+        edge_context{*loop_, *logger_, *metrics_, *translator_, *targets_client_, *desk_, *fleet_,
+                     settings_.timeouts, self.data_centre, nullptr, false});
+    jobs_ = std::make_unique<job_service>(*context_, *store_, *peers_client_, settings_.jobs,
+                                          self.name + '-' + std::to_string(self.started_at));
+    gateway_ = std::make_unique<caller_gateway>(*context_, *jobs_);
+    state_follower_ = std::make_unique<log_follower>(
+        *loop_, *store_, translator_->state_place(),
+        follower_callbacks{[this](const std::map<std::string, std::string>& all) {
+                               const auto found = all.find(translator_->state_key());
+                               if (found != all.end()) {
+                                   take_state(found->second, "store");
+                               }
+                           },
+                           [this](const std::string& key, const std::string& value) {
+                               if (key == translator_->state_key()) {
+                                   take_state(value, "store");
+                               }
+                           },
+                           [this](bool reachable) {
+                               logger_->write(reachable ? kernel::log_level::info
+                                                        : kernel::log_level::warning,
+                                              reachable ? "store_reached" : "store_lost", {});
+                           }});
+    target_follower_ = std::make_unique<log_follower>(
+        *loop_, *store_, translator_->target_place(),
+        follower_callbacks{[this](const std::map<std::string, std::string>& all) {
+                               take_all_targets(all);
+                           },
+                           [this](const std::string& key, const std::string& value) {
+                               take_target(key, value);
+                           },
+                           [this](bool reachable) {
+                               const core::time_point now = steady_clock::now();
+                               reachable ? targets_.registry_regained(now)
+                                         : targets_.registry_lost(now);
+                           }});
+    registry_ = std::make_unique<member_registry>(
+        *loop_, *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
+            for (const serving::fleet_member& member : members) {
+                largest_capacity_ = std::max(largest_capacity_, member.capacity);
+            }
+            fleet_->set_members(members);
+        });
+}
+
+edge_node::~edge_node()
+{
+    loop_->run_and_wait([this] {
+        *alive_ = false;
+        fleet_->stop();
+        callers_server_.reset();
+        internal_server_.reset();
+        directory_server_.reset();
+        readiness_server_.reset();
+        jobs_.reset();
+        registry_.reset();
+        state_follower_.reset();
+        target_follower_.reset();
+        targets_client_.reset();
+        peers_client_.reset();
+        store_.reset();
+    });
+    logger_->write(kernel::log_level::info, "stopped", {{"instance", settings_.self.name}});
+    // The loop's thread ends before what its tasks refer to.
+    loop_.reset();
+}
+
+tl::expected<void, std::string> edge_node::start()
+{
+    tl::expected<void, std::string> result;
+    loop_->run_and_wait([this, &result] {
+        result = fleet_->start();
+        if (result) {
+            result = open_listeners();
+        }
+        if (result) {
+            tick();
+        }
+    });
+    if (result) {
+        logger_->write(kernel::log_level::info, "started",
+                       {{"instance", settings_.self.name},
+                        {"address", settings_.self.id.value()},
+                        {"data_centre", settings_.self.data_centre.value()},
+                        {"capacity", std::to_string(settings_.self.capacity)}});
+    }
+    return result;
+}
+
+std::unique_ptr<http::server> edge_node::make_server(const std::string& address,
+                                                     http::server_handlers handlers)
+{
+    http::server_settings server;
+    const auto endpoint = http::parse_endpoint(address);
+    if (!endpoint) {
+        return nullptr;
+    }
+    server.address = endpoint->address().to_string();
+    server.port = endpoint->port();
+    server.idle_timeout = caller_idle;
+    server.answer_buffer = caller_answer_buffer;
+    // A submission holds the encoded bodies of its items.
+    server.body_limit = 16U << 20U;
+    server.header_limit = 64U << 10U;
+    return std::make_unique<http::server>(*loop_, std::move(server), std::move(handlers));
+}
+
+tl::expected<void, std::string> edge_node::open_listeners()
+{
+    struct listener {
+        std::unique_ptr<http::server>* place;
+        std::string address;
+        std::function<void(http::request, std::shared_ptr<http::responder>)> handle;
+    };
+    const auto on_caller = [this](http::request received, std::shared_ptr<http::responder> caller) {
+        gateway_->handle(std::move(received), std::move(caller));
+    };
+    const auto on_readiness = [this](const http::request& received,
+                                     const std::shared_ptr<http::responder>& caller) {
+        handle_readiness(received, caller);
+    };
+    const auto on_directory = [this](const http::request& received,
+                                     const std::shared_ptr<http::responder>& caller) {
+        handle_directory(received, caller);
+    };
+    const auto on_internal = [this](http::request received,
+                                    std::shared_ptr<http::responder> caller) {
+        handle_internal(std::move(received), std::move(caller));
+    };
+    const std::vector<listener> listeners{
+        {&callers_server_, settings_.self.callers_address, on_caller},
+        {&readiness_server_, settings_.readiness_address, on_readiness},
+        {&directory_server_, settings_.directory_address, on_directory},
+        {&internal_server_, settings_.self.id.value(), on_internal},
+    };
+    for (const listener& entry : listeners) {
+        if (entry.address.empty()) {
+            continue;
+        }
+        *entry.place = make_server(entry.address, {entry.handle, {}});
+        if (*entry.place == nullptr) {
+            return tl::unexpected("not a numeric address: " + entry.address);
+        }
+        const auto started = (*entry.place)->start();
+        if (!started) {
+            return tl::unexpected("cannot listen at " + entry.address + ": " + started.error());
+        }
+    }
+    return {};
+}
+
+void edge_node::tick()
+{
+    const core::time_point now = steady_clock::now();
+    watch_store(now);
+    fleet_->tick(now);
+    desk_->tick(now);
+    const bool capable =
+        registry_->known() &&
+        settings_.self.capacity >= settings_.job_owner_capacity * largest_capacity_;
+    if (capable && !leaving_since_) {
+        jobs_->participate();
+    }
+    jobs_->tick(now);
+    check_left(now);
+    loop_->post_after(tick_interval, [this, alive = alive_] {
+        if (*alive) {
+            tick();
+        }
+    });
+}
+
+void edge_node::watch_store(core::time_point now)
+{
+    state_follower_->tick(now, settings_.state_interval);
+    const bool lone = !fleet_->has_leader();
+    if (fleet_->wants_targets()) {
+        target_follower_->tick(now, settings_.target_interval);
+    }
+    if (lone || fleet_->leads()) {
+        registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
+    }
+    const auto read_at = state_follower_->read_at();
+    store_reachable_ = read_at && now - *read_at < settings_.store_silence;
+    fleet_->set_store_reachable(store_reachable_);
+    targets_.expire(now);
+    publish_targets();
+}
+
+void edge_node::take_state(const std::string& value, const char* source)
+{
+    auto state = translator_->decode_state(value);
+    if (!state) {
+        logger_->write(kernel::log_level::error, "state_unreadable",
+                       {{"reason", state.error()}, {"source", source}});
+        return;
+    }
+    const std::uint64_t current = context_->routes ? context_->routes->state().version : 0;
+    if (context_->routes != nullptr && state->version <= current) {
+        return;
+    }
+    state_record_ = value;
+    logger_->write(kernel::log_level::info, "state_taken",
+                   {{"version", std::to_string(state->version)},
+                    {"before", std::to_string(current)},
+                    {"source", source},
+                    {"routes", std::to_string(state->routes.size())},
+                    {"teams", std::to_string(state->teams.size())}});
+    fleet_->set_state(*state);
+    desk_->set_state(*state);
+    context_->routes = std::make_shared<const serving::route_table>(std::move(*state));
+}
+
+void edge_node::fetch_state(const core::instance_id& from, std::uint64_t version)
+{
+    state_follower_->hurry();
+    if (fetching_state_) {
+        return;
+    }
+    fetching_state_ = true;
+    http::client_request request;
+    request.address = from.value();
+    request.target = state_path;
+    request.timeouts.connect = milliseconds(300);
+    request.timeouts.first_byte = milliseconds(500);
+    http::call_observer observer;
+    observer.on_done = [this, alive = alive_, version](const http::call_result& result) {
+        if (!*alive) {
+            return;
+        }
+        fetching_state_ = false;
+        if (result.outcome == http::call_outcome::completed && result.head.status == 200) {
+            take_state(result.body, "instance");
+            return;
+        }
+        logger_->write(kernel::log_level::warning, "state_not_fetched",
+                       {{"version", std::to_string(version)}, {"reason", result.reason}});
+    };
+    peers_client_->start(std::move(request), std::move(observer));
+}
+
+void edge_node::take_target(const std::string& id, const std::string& value)
+{
+    const core::time_point now = steady_clock::now();
+    if (value.empty()) {
+        const bool known = targets_.find(core::target_id(id)) != nullptr;
+        targets_.remove(core::target_id(id), now);
+        if (known) {
+            logger_->write(kernel::log_level::info, "target_removed", {{"target", id}});
+        }
+        return;
+    }
+    auto entry = translator_->decode_target(id, value);
+    if (!entry) {
+        logger_->write(kernel::log_level::warning, "target_unreadable",
+                       {{"target", id}, {"reason", entry.error()}});
+        return;
+    }
+    const serving::target_entry* known = targets_.find(entry->id);
+    if (known == nullptr || !(*known == *entry)) {
+        logger_->write(kernel::log_level::info, "target_changed",
+                       {{"target", id},
+                        {"address", entry->address},
+                        {"draining", entry->draining ? "yes" : "no"},
+                        {"started_at", std::to_string(entry->started_at)}});
+    }
+    targets_.update(*entry);
+}
+
+void edge_node::take_all_targets(const std::map<std::string, std::string>& all)
+{
+    std::vector<serving::target_entry> entries;
+    for (const auto& [id, value] : all) {
+        auto entry = translator_->decode_target(id, value);
+        if (entry) {
+            entries.push_back(std::move(*entry));
+        }
+        else {
+            logger_->write(kernel::log_level::warning, "target_unreadable",
+                           {{"target", id}, {"reason", entry.error()}});
+        }
+    }
+    targets_.replace_all(entries, steady_clock::now());
+    targets_known_ = true;
+}
+
+void edge_node::publish_targets()
+{
+    if (!fleet_->wants_targets()) {
+        if (targets_known_) {
+            // What another instance reads is newer by the time that this one leads.
+            targets_known_ = false;
+            target_follower_->restart();
+        }
+        targets_published_ = 0;
+        return;
+    }
+    const std::uint64_t revision = targets_.revision();
+    if (targets_known_ && (revision != targets_published_)) {
+        targets_published_ = revision;
+        fleet_->set_targets(targets_.usable());
+    }
+}
+
+own_condition edge_node::condition() const
+{
+    own_condition own;
+    own.ready = ready();
+    own.leaving = leaving_since_.has_value();
+    own.state_version = context_->routes ? context_->routes->state().version : 0;
+    own.partitions = jobs_->owned();
+    own.runs = desk_->runs();
+    return own;
+}
+
+bool edge_node::ready() const
+{
+    return context_->routes != nullptr && !leaving_since_;
+}
+
+void edge_node::handle_readiness(const http::request& received,
+                                 const std::shared_ptr<http::responder>& caller) const
+{
+    const bool known = translator_->is_readiness(received);
+    const unsigned status = ready() ? 200 : 503;
+    caller->send({known ? status : 404, {}, {}});
+}
+
+void edge_node::handle_directory(const http::request& received,
+                                 const std::shared_ptr<http::responder>& caller)
+{
+    const auto question = translator_->decode_directory(received);
+    if (!question) {
+        caller->send({404, {}, {}});
+        return;
+    }
+    std::vector<serving::fleet_member> members = fleet_->ready_members();
+    double largest = 0;
+    for (const serving::fleet_member& member : members) {
+        largest = std::max(largest, member.capacity);
+    }
+    // A caller picks one of the addresses at random, so that an instance gets callers by how often
+    // it is named: in proportion to its capacity.
+    ++directory_turn_;
+    std::vector<std::string> addresses;
+    for (const serving::fleet_member& member : members) {
+        const std::uint64_t draw = core::stable_hash(member.id.value(), directory_turn_);
+        const double chance = largest > 0 ? member.capacity / largest : 1.0;
+        if (static_cast<double>(draw % 1000) < chance * 1000) {
+            addresses.push_back(member.callers_address);
+        }
+    }
+    if (addresses.empty() && ready()) {
+        addresses.push_back(settings_.self.callers_address);
+    }
+    if (addresses.size() > settings_.directory_addresses_max) {
+        std::sort(addresses.begin(), addresses.end(), [this](const auto& a, const auto& b) {
+            return core::stable_hash(a, directory_turn_) < core::stable_hash(b, directory_turn_);
+        });
+        addresses.resize(settings_.directory_addresses_max);
+    }
+    if (addresses.empty()) {
+        caller->send({503, {}, {}});
+        return;
+    }
+    caller->send(translator_->encode_directory(addresses, settings_.directory_lifetime));
+}
+
+void edge_node::handle_internal(http::request received, std::shared_ptr<http::responder> caller)
+{
+    if (received.target == metrics_path) {
+        caller->send({200, {{"Content-Type", kernel::metrics::content_type}}, metrics_->exposition()});
+        return;
+    }
+    if (received.target == state_path) {
+        if (context_->routes == nullptr) {
+            caller->send({503, {}, {}});
+            return;
+        }
+        const std::string version = std::to_string(context_->routes->state().version);
+        caller->send({200, {{version_header, version}}, state_record_});
+        return;
+    }
+    jobs_->handle_forwarded(std::move(received), std::move(caller));
+}
+
+void edge_node::note_reload(const std::string& faults)
+{
+    logger_->write(faults.empty() ? kernel::log_level::info : kernel::log_level::error,
+                   "settings_reloaded", {{"faults", faults}});
+}
+
+void edge_node::begin_leaving()
+{
+    loop_->post([this, alive = alive_] {
+        if (*alive) {
+            start_leaving();
+        }
+    });
+}
+
+void edge_node::start_leaving()
+{
+    if (leaving_since_) {
+        return;
+    }
+    leaving_since_ = steady_clock::now();
+    context_->leaving = true;
+    logger_->write(kernel::log_level::info, "leaving", {{"instance", settings_.self.name}});
+    registry_->remove_self();
+    fleet_->leave();
+    callers_server_->announce_closing();
+    jobs_->leave([this] { jobs_left_ = true; });
+}
+
+void edge_node::check_left(core::time_point now)
+{
+    if (!leaving_since_ || left_) {
+        return;
+    }
+    const auto since = now - *leaving_since_;
+    const bool idle = gateway_->open() == 0 && jobs_left_;
+    if ((since >= settings_.leave_linger && idle) || since >= settings_.leave_max) {
+        left_ = true;
+    }
+}
+
+} // namespace gooseberryfall::edge
--- /dev/null
+++ b/src/edge/edge_node.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "edge/caller_gateway.hpp"
+#include "edge/edge_context.hpp"
+#include "edge/edge_settings.hpp"
+#include "edge/fleet_service.hpp"
+#include "edge/job_service.hpp"
+#include "edge/log_follower.hpp"
+#include "edge/member_registry.hpp"
+#include "edge/protocol.hpp"
+#include "edge/slot_desk.hpp"
+#include "edge/store.hpp"
+#include "http/http.hpp"
+#include "kernel/kernel.hpp"
+#include "serving/serving.hpp"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace gooseberryfall::edge {
+
+/// One instance: listeners, followers of the store, and the services between them, on one event
+/// loop. Made by its builder. `start`, `begin_leaving` and `left` are thread-safe.
+class edge_node {
+public:
+    class builder;
+
+    ~edge_node();
+    edge_node(const edge_node&) = delete;
+    edge_node& operator=(const edge_node&) = delete;
+    edge_node(edge_node&&) = delete;
+    edge_node& operator=(edge_node&&) = delete;
+
+    /// Opens all listeners and begins to work, or returns why it cannot.
+    tl::expected<void, std::string> start();
+
+    /// Lets callers go elsewhere and gives all work up in order.
+    void begin_leaving();
+
+    /// The settings file was read again; `faults` is empty if it is valid. Thread-safe.
+    void note_reload(const std::string& faults);
+
+    /// Whether everything is done and the process may end.
+    bool left() const { return left_; }
+
+private:
+    edge_node(edge_settings settings, std::unique_ptr<protocol> translator,
+              std::unique_ptr<store> durable, std::unique_ptr<http::event_loop> loop,
+              std::unique_ptr<kernel::logger> logger, std::unique_ptr<kernel::metrics> metrics);
+
+    tl::expected<void, std::string> open_listeners();
+    void tick();
+    void watch_store(core::time_point now);
+    void take_state(const std::string& value, const char* source);
+    void take_target(const std::string& id, const std::string& value);
+    void take_all_targets(const std::map<std::string, std::string>& all);
+    void publish_targets();
+    void fetch_state(const core::instance_id& from, std::uint64_t version);
+    own_condition condition() const;
+    bool ready() const;
+    void handle_directory(const http::request& received,
+                          const std::shared_ptr<http::responder>& caller);
+    void handle_readiness(const http::request& received,
+                          const std::shared_ptr<http::responder>& caller) const;
+    void handle_internal(http::request received, std::shared_ptr<http::responder> caller);
+    std::unique_ptr<http::server> make_server(const std::string& address,
+                                              http::server_handlers handlers);
+    void start_leaving();
+    void check_left(core::time_point now);
+
+    edge_settings settings_;
+    std::unique_ptr<http::event_loop> loop_;
+    std::unique_ptr<kernel::logger> logger_;
+    std::unique_ptr<kernel::metrics> metrics_;
+    std::unique_ptr<protocol> translator_;
+    std::unique_ptr<store> store_;
+    std::unique_ptr<http::client> targets_client_;
+    std::unique_ptr<http::client> peers_client_;
+    std::unique_ptr<fleet_service> fleet_;
+    std::unique_ptr<slot_desk> desk_;
+    std::unique_ptr<edge_context> context_;
+    std::unique_ptr<job_service> jobs_;
+    std::unique_ptr<caller_gateway> gateway_;
+    std::unique_ptr<log_follower> state_follower_;
+    std::unique_ptr<log_follower> target_follower_;
+    std::unique_ptr<member_registry> registry_;
+    std::unique_ptr<http::server> callers_server_;
+    std::unique_ptr<http::server> readiness_server_;
+    std::unique_ptr<http::server> directory_server_;
+    std::unique_ptr<http::server> internal_server_;
+    serving::target_directory targets_;
+    std::string state_record_;
+    bool fetching_state_ = false;
+    bool store_reachable_ = false;
+    bool targets_known_ = false;
+    std::uint64_t targets_published_ = 0;
+    std::uint64_t directory_turn_ = 0;
+    double largest_capacity_ = 0;
+    std::optional<core::time_point> leaving_since_;
+    bool jobs_left_ = false;
+    std::atomic<bool> left_{false};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// Puts an `edge_node` together. Not thread-safe.
+class edge_node::builder {
+public:
+    /// Settings; required.
+    builder& with_settings(edge_settings settings);
+
+    /// Translator of the callers' and targets' protocol; required.
+    builder& with_protocol(std::unique_ptr<protocol> translator);
+
+    /// Makes the client of the platform's store on the node's loop; required.
+    builder& with_store(std::function<std::unique_ptr<store>(http::event_loop&)> make_store);
+
+    /// Where log lines go; standard output if not set. Must outlive the node.
+    builder& with_log(kernel::logger_settings settings);
+
+    /// The node. Precondition: what is required has been set.
+    std::unique_ptr<edge_node> build();
+
+private:
+    edge_settings settings_;
+    std::unique_ptr<protocol> translator_;
+    std::function<std::unique_ptr<store>(http::event_loop&)> make_store_;
+    kernel::logger_settings log_;
+};
+
+} // namespace gooseberryfall::edge
--- /dev/null
+++ b/src/edge/edge_settings.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "edge/edge_context.hpp"
+#include "edge/fleet_service.hpp"
+#include "edge/job_service.hpp"
+#include "edge/slot_desk.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace gooseberryfall::edge {
+
+/// Settings of one instance.
+struct edge_settings {
+    /// The instance among the others; its id is the `ip:port` of the listeners for instances.
+    serving::fleet_member self;
+    /// `ip:port` of the listeners; empty for those that this instance does not have.
+    std::string readiness_address;
+    std::string directory_address;
+    /// Time for which callers may keep an answer of the directory.
+    std::chrono::seconds directory_lifetime{2};
+    /// Addresses in one answer of the directory at most.
+    std::size_t directory_addresses_max = 64;
+    /// Between two reads of the desired state: a third of the time in which a new one has to be in
+    /// force, so that one read may fail.
+    std::chrono::milliseconds state_interval{650};
+    /// Between two reads of the targets while this instance leads, or knows no leader.
+    std::chrono::milliseconds target_interval{400};
+    /// Between two reads of the members while this instance leads, and while it knows no leader.
+    std::chrono::milliseconds member_interval{700};
+    std::chrono::milliseconds lone_member_interval{300};
+    /// A store that has not answered a read for so long cannot be reached.
+    std::chrono::milliseconds store_silence{1500};
+    /// Time for which a leaving instance serves callers that still have its address.
+    std::chrono::milliseconds leave_linger{4500};
+    /// Time after which a leaving instance ends, whatever is under way.
+    std::chrono::milliseconds leave_max{7500};
+    /// Instances below this part of the largest one's capacity own no job partitions.
+    double job_owner_capacity = 0.5;
+    /// Idle connections kept to one target.
+    std::size_t target_pool = 8;
+    /// Idle time up to which a connection to a target is used for what may not be repeated.
+    std::chrono::milliseconds target_recent_idle{2000};
+    target_timeouts timeouts;
+    fleet_settings fleet;
+    desk_settings desk;
+    job_settings jobs;
+};
+
+} // namespace gooseberryfall::edge
--- /dev/null
+++ b/src/edge/slot_desk.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "edge/fleet_service.hpp"
+#include "kernel/kernel.hpp"
+#include "serving/serving.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace gooseberryfall::edge {
+
+/// Who gave a slot.
+enum class slot_basis {
+    /// The instance that places for the whole fleet.
+    leader,
+    /// This instance alone, because the leader did not answer.
+    local,
+};
+
+/// Text form. Thread-safe.
+const char* to_text(slot_basis basis);
+
+/// Answer to a call for a slot.
+struct slot_answer {
+    std::variant<serving::slot_granted, serving::slot_denied> result;
+    slot_basis basis = slot_basis::leader;
+};
+
+/// Settings of `slot_desk`.
+struct desk_settings {
+    /// A call is repeated after this time without any answer: a round trip takes a few ms.
+    std::chrono::milliseconds repeat_after{40};
+    /// Without a word of the leader to this call for so long, an online request is placed here.
+    std::chrono::milliseconds doubt_after{130};
+    /// Time for which a leader that did not answer is not asked for online requests.
+    std::chrono::milliseconds doubt_time{400};
+    /// A waiting batch item is asked for again at this interval.
+    std::chrono::milliseconds batch_repeat{1000};
+};
+
+/// Gets slots for the work of this instance: from the leader, or, while the leader is silent, from
+/// what this instance can decide alone. For the loop's thread.
+class slot_desk {
+public:
+    using on_answer = std::function<void(const slot_answer&)>;
+
+    /// `first_number` is higher than any number of a former process at the same address.
+    slot_desk(fleet_service& fleet, kernel::logger& logger, desk_settings settings,
+              std::uint64_t first_number);
+
+    /// Asks for a slot and returns the number of the call, which names the run as well. The key in
+    /// the question is set here. The answer never comes within this call.
+    std::uint64_t ask(serving::slot_call call, on_answer answer, std::function<void()> on_yield);
+
+    /// Ends a run, or a call that has not been answered. Nothing is called back afterwards.
+    void end(std::uint64_t number, serving::slot_outcome outcome,
+             std::optional<std::chrono::milliseconds> first_event,
+             std::chrono::milliseconds duration);
+
+    /// The run's target gives no byte, or does again.
+    void set_silent(std::uint64_t number, bool silent);
+
+    /// A message of the leader.
+    void on_message(const serving::peer_message& message);
+
+    /// Time has passed; to be called every 20 ms.
+    void tick(core::time_point now);
+
+    /// The desired state in force.
+    void set_state(const serving::desired_state& state);
+
+    /// Runs under way, for the report.
+    std::vector<serving::reported_run> runs() const;
+
+private:
+    enum class stage { asked, queued, running };
+    struct entry {
+        serving::slot_call call;
+        on_answer answer;
+        std::function<void()> on_yield;
+        stage where = stage::asked;
+        slot_basis basis = slot_basis::leader;
+        core::time_point begun_at;
+        core::time_point sent_at;
+        core::time_point objective_at;
+        core::time_point end_at;
+        core::target_id target;
+        bool silent = false;
+    };
+
+    void send(entry& of, core::time_point now);
+    void place_locally(entry& of, core::time_point now);
+    void on_reply(const serving::slot_reply& reply, slot_basis basis);
+    void handle_local(const std::vector<serving::addressed_message>& messages);
+    bool leader_doubted(core::time_point now) const { return now < doubted_until_; }
+
+    fleet_service& fleet_;
+    kernel::logger& logger_;
+    desk_settings settings_;
+    serving::fleet_placement local_;
+    std::map<std::uint64_t, entry> entries_;
+    std::uint64_t next_number_;
+    core::time_point doubted_until_{};
+    /// Replies of the local placement that are delivered at the next tick at the latest.
+    std::vector<serving::slot_reply> local_replies_;
+};
+
+} // namespace gooseberryfall::edge
--- /dev/null
+++ b/src/edge/store.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "fleet_wire/job_codec.hpp"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberryfall::edge {
+
+using fleet_wire::keyed_record;
+
+/// Which part of the platform's log is meant. All topics here keep the newest record of each key.
+struct log_place {
+    std::string topic;
+    std::uint32_t partition = 0;
+
+    auto operator<=>(const log_place&) const = default;
+};
+
+/// What a failed call says about its effect.
+enum class store_failure {
+    /// Nothing was done.
+    not_done,
+    /// It may have been done, or may be done later.
+    unknown,
+    /// A newer writer has taken the partition.
+    fenced,
+    /// The writer's sequence is not the one that the store expects.
+    out_of_sequence,
+    /// The records asked for are not kept any more.
+    expired,
+    /// The store does not take such a call.
+    rejected,
+};
+
+/// Text form. Thread-safe.
+const char* to_text(store_failure failure);
+
+struct store_error {
+    store_failure failure = store_failure::unknown;
+    /// For people.
+    std::string reason;
+};
+
+template <class T>
+using store_result = tl::expected<T, store_error>;
+
+template <class T>
+using store_callback = std::function<void(store_result<T>)>;
+
+/// Identifies the writer of a partition. The store takes appends of the highest epoch only, and
+/// each sequence once.
+struct log_writer {
+    std::string name;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// Records found in a partition.
+struct log_page {
+    std::vector<keyed_record> records;
+    /// Offset after the last record of the partition.
+    std::uint64_t end = 0;
+    /// Key after which the next page begins; unset if this is the last one.
+    std::optional<std::string> next;
+};
+
+/// This instance's place in a group that shares partitions.
+struct group_view {
+    /// Rises with each change of the group.
+    std::uint64_t generation = 0;
+    std::vector<log_place> places;
+};
+
+/// The platform's durable store. All methods are for the event loop's thread; callbacks come on it,
+/// never within the call.
+class store {
+public:
+    store() = default;
+    virtual ~store() = default;
+    store(const store&) = delete;
+    store& operator=(const store&) = delete;
+    store(store&&) = delete;
+    store& operator=(store&&) = delete;
+
+    /// Appends records, all or none. Without records and with a writer it only sets the epoch.
+    virtual void append(const log_place& place, const std::vector<keyed_record>& records,
+                        const std::optional<log_writer>& writer,
+                        store_callback<std::uint64_t> done) = 0;
+
+    /// Reads the records from an offset on.
+    virtual void read(const log_place& place, std::uint64_t from,
+                      store_callback<log_page> done) = 0;
+
+    /// Reads the newest record of each key, a page at a time, after the given key.
+    virtual void newest(const log_place& place, const std::optional<std::string>& after,
+                        store_callback<log_page> done) = 0;
+
+    /// Joins a group or stays in it. `generation` is the last one seen, 0 at first.
+    virtual void join(const std::string& group, const std::string& member,
+                      const std::vector<std::string>& topics, std::chrono::milliseconds lifetime,
+                      std::uint64_t generation, store_callback<group_view> done) = 0;
+
+    /// Leaves a group; its partitions go to others at once.
+    virtual void leave(const std::string& group, const std::string& member,
+                       store_callback<bool> done) = 0;
+};
+
+} // namespace gooseberryfall::edge
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -272,6 +272,8 @@
         return read(in.getReport());
     case schema::Datagram::DIGEST:
         return read(in.getDigest());
+    case schema::Datagram::SLOT_WAITING:
+        return serving::slot_waiting{in.getSlotWaiting()};
     }
     throw wire::conversion_error("datagram of an unknown kind");
 }
@@ -285,6 +287,7 @@
     std::visit(core::visitors{
                    [&](const serving::slot_call& in) { write(out.initSlotCall(), in); },
                    [&](const serving::slot_reply& in) { write(out.initSlotReply(), in); },
+                   [&](const serving::slot_waiting& in) { out.setSlotWaiting(in.number); },
                    [&](const serving::slot_end& in) { write(out.initSlotEnd(), in); },
                    [&](const serving::yield_order& in) { out.setYieldOrder(in.number); },
                    [&](const serving::instance_report& in) { write(out.initReport(), in); },
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -101,6 +101,8 @@
     yieldOrder @3 :UInt64;
     report @4 :Report;
     digest @5 :Digest;
+    # Number of the call that waits.
+    slotWaiting @6 :UInt64;
   }
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -129,6 +129,9 @@
     /// Time after which unacknowledged bytes break the connection (TCP_USER_TIMEOUT).
     std::chrono::milliseconds unacknowledged_max{5000};
     std::size_t header_limit = 16U << 10U;
+    /// Whether an answer without a length may end with its connection. One that is reset is cut
+    /// short in any case.
+    bool accept_unframed = false;
     /// Plain TCP if unset.
     std::optional<client_tls> tls;
 };
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -244,7 +244,9 @@
 
 bool client_call::check_head()
 {
-    if (!parser_->is_done() && !parser_->chunked() && !parser_->content_length()) {
+    const bool unframed =
+        !parser_->is_done() && !parser_->chunked() && !parser_->content_length();
+    if (unframed && !core_->settings.accept_unframed) {
         // Its end could not be told from a lost connection.
         fail(call_outcome::invalid_answer, "the answer declares no length");
         return false;
@@ -264,6 +266,9 @@
         if (buffer_.size() == 0 && !co_await read_more()) {
             co_return false;
         }
+        if (parser_->is_done()) {
+            break;
+        }
         std::array<char, read_size> bytes{};
         auto& body = parser_->get().body();
         body.data = bytes.data();
@@ -326,6 +331,12 @@
         begin(call_phase::between_bytes, request_.timeouts.between_bytes);
     }
     const io_result result = co_await connection_->read_some(buffer_.prepare(read_size));
+    const bool may_end = answer_begun_ && parser_->is_header_done() && parser_->need_eof();
+    if (result.error == asio::error::eof && may_end) {
+        error_code ignored;
+        parser_->put_eof(ignored);
+        co_return !failed_ && parser_->is_done();
+    }
     if (result.error) {
         fail_io(result.error, answer_begun_ ? "the answer was cut short" : "no answer");
         co_return false;
--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -104,7 +104,11 @@
             return {{key.instance, *entry.refused}};
         }
     }
-    return to_messages(slots_.ask(call.question, now), now);
+    std::vector<addressed_message> result = to_messages(slots_.ask(call.question, now), now);
+    if (result.empty()) {
+        result.push_back({key.instance, slot_waiting{key.number}});
+    }
+    return result;
 }
 
 std::vector<addressed_message> fleet_placement::on_end(const slot_end& end, core::time_point now)
--- a/src/serving/job_ledger.cpp
+++ b/src/serving/job_ledger.cpp
@@ -278,7 +278,7 @@
     return jobs_.at(job).accepted_at;
 }
 
-const std::string* job_ledger::open_body(const std::string& job, const std::string& item) const
+const std::string* job_ledger::body(const std::string& job, const std::string& item) const
 {
     const auto found = jobs_.find(job);
     if (found == jobs_.end() || found->second.opening) {
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -192,8 +192,8 @@
     const item_progress& progress(const item_key& key) const;
     core::wall_time accepted_at(const std::string& job) const;
 
-    /// Body of an item that has no result yet, or null.
-    const std::string* open_body(const std::string& job, const std::string& item) const;
+    /// Body of an item of an accepted job, or null.
+    const std::string* body(const std::string& job, const std::string& item) const;
 
     /// Number of items; 0 if the job is not known.
     std::uint32_t item_count(const std::string& job) const;
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -48,6 +48,11 @@
     std::variant<slot_granted, slot_denied> result;
 };
 
+/// The call has arrived and waits for a slot.
+struct slot_waiting {
+    std::uint64_t number = 0;
+};
+
 /// A run has ended, or a call is withdrawn.
 struct slot_end {
     slot_return ended;
@@ -94,7 +99,7 @@
     std::vector<digest_target> targets;
 };
 
-using peer_message = std::variant<slot_call, slot_reply, slot_end, yield_order, instance_report,
-                                  fleet_digest>;
+using peer_message = std::variant<slot_call, slot_reply, slot_waiting, slot_end, yield_order,
+                                  instance_report, fleet_digest>;
 
 } // namespace gooseberryfall::serving
