edge: give an instance's own calls its id

Ruled out: lost datagrams (no repeat was sent), targets (none had seen the requests). Change: the desk sets the whole key.

--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -86,6 +86,7 @@
     /// Sends a message to another instance.
     void send(const core::instance_id& to, const serving::peer_message& message);
 
+    const core::instance_id& self_id() const { return leadership_.self().id; }
     bool leads() const { return leadership_.leads(); }
     bool has_leader() const;
 
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -48,7 +48,7 @@
 {
     const core::time_point now = steady_clock::now();
     const std::uint64_t number = next_number_++;
-    call.question.key.number = number;
+    call.question.key = {fleet_.self_id(), number};
     entry added;
     added.call = std::move(call);
     added.answer = std::move(answer);
