edge: write all job partitions under one writer name

Cause: the store compares epochs of one writer name only; each owner used a name of its own, so an owner that had been replaced went on writing. Two owners gave one position two results. Ruled out: equal epochs (generations differ), reads of unconfirmed results (only written ones are listed). Change: one name for all owners.

--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -13,6 +13,9 @@
 using std::chrono::steady_clock;
 using std::chrono::system_clock;
 
+/// All owners write under one name: the store compares the epochs of one name only.
+constexpr const char* writer_name = "owner";
+
 /// Before any item has been measured.
 constexpr double token_time_guess = 4.0;
 /// Weight of the past in the average time for a token.
@@ -34,11 +37,10 @@
 } // namespace
 
 job_partition::job_partition(edge_context& context, store& durable, log_place place,
-                             std::uint64_t epoch, std::string writer_name,
-                             partition_settings settings, std::function<void()> on_lost)
+                             std::uint64_t epoch, partition_settings settings,
+                             std::function<void()> on_lost)
     : context_(context), store_(durable), place_(std::move(place)), epoch_(epoch),
-      writer_name_(std::move(writer_name)), settings_(settings), on_lost_(std::move(on_lost)),
-      token_time_(token_time_guess)
+      settings_(settings), on_lost_(std::move(on_lost)), token_time_(token_time_guess)
 {
 }
 
@@ -66,7 +68,7 @@
 void job_partition::fence()
 {
     // From here on the store takes nothing from the owner before.
-    store_.append(place_, {}, log_writer{writer_name_, epoch_, 0},
+    store_.append(place_, {}, log_writer{writer_name, epoch_, 0},
                   [this, alive = alive_](const store_result<std::uint64_t>& result) {
                       if (!*alive) {
                           return;
@@ -119,7 +121,7 @@
     }
     ledger_.finish_loading();
     writer_ = std::make_unique<job_writer>(store_, context_.loop, place_,
-                                           log_writer{writer_name_, epoch_, 0}, settings_.limits,
+                                           log_writer{writer_name, epoch_, 0}, settings_.limits,
                                            [this] { lose("fenced by a newer owner"); });
     context_.logger.write(kernel::log_level::info, "partition_owned",
                           {{"topic", place_.topic},
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -43,8 +43,7 @@
     /// `epoch` is higher than that of every owner before. `on_lost` is called when another instance
     /// has taken the partition, or the log cannot be read.
     job_partition(edge_context& context, store& durable, log_place place, std::uint64_t epoch,
-                  std::string writer_name, partition_settings settings,
-                  std::function<void()> on_lost);
+                  partition_settings settings, std::function<void()> on_lost);
     ~job_partition();
     job_partition(const job_partition&) = delete;
     job_partition& operator=(const job_partition&) = delete;
@@ -104,7 +103,6 @@
     store& store_;
     log_place place_;
     std::uint64_t epoch_;
-    std::string writer_name_;
     partition_settings settings_;
     std::function<void()> on_lost_;
     serving::job_ledger ledger_;
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -143,7 +143,7 @@
             continue;
         }
         auto added = std::make_unique<job_partition>(
-            context_, store_, place_of(number), generation_, member_name_, settings_.partition,
+            context_, store_, place_of(number), generation_, settings_.partition,
             [this, number] { partitions_.erase(number); });
         job_partition& partition = *added;
         partitions_.emplace(number, std::move(added));
