edge, serving: follow the newest owner of a partition, and lead only with the store in sight

Cause: an instance that the store turns away does not hear that its job partitions have a new owner; others went on asking it, and results that had been read were missing there. A leader in that place places by an old list of targets. Ruled out: reads of results that were not yet written; a page of the newest records cut short. Change: owners are told with their epoch and the highest one is asked; an owner that hears of a newer one drops the partition. A leader that cannot read the store resigns if another instance can.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -297,7 +297,9 @@
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
     const auto read_at = state_follower_->read_at();
-    store_reachable_ = read_at && now - *read_at < settings_.store_silence;
+    const milliseconds allowed =
+        state_follower_->failing() ? settings_.store_doubt : settings_.store_silence;
+    store_reachable_ = read_at && now - *read_at < allowed;
     fleet_->set_store_reachable(store_reachable_);
     targets_.expire(now);
     publish_targets();
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -110,6 +110,14 @@
                              limit_share_allowance);
 }
 
+bool fleet_service::others_reach_store() const
+{
+    return std::any_of(members_.begin(), members_.end(), [this](const auto& entry) {
+        return entry.first != leadership_.self().id && entry.second.alive &&
+               entry.second.reaches_store;
+    });
+}
+
 void fleet_service::send(const core::instance_id& to, const peer_message& message)
 {
     socket_.send(to, message);
@@ -186,6 +194,7 @@
     state.member = report.self;
     state.ready = report.ready;
     state.leaving = report.leaving;
+    state.reaches_store = report.reaches_store;
     state.partitions = report.partitions;
     state.heard_at = now;
     state.alive = true;
@@ -276,13 +285,16 @@
 
 void fleet_service::tick(core::time_point now)
 {
-    leadership_.tick(now, store_reachable_);
+    leadership_.tick(now, store_reachable_, others_reach_store());
     const bool leads = leadership_.leads();
     if (leads && !led_before_) {
         begin_leading(now);
     }
     if (!leads && led_before_) {
-        logger_.write(kernel::log_level::info, "leadership_ended", {});
+        logger_.write(kernel::log_level::info, "leadership_ended",
+                      {{"store_reachable", store_reachable_ ? "yes" : "no"}});
+        // Whoever still follows this instance need not wait for its silence.
+        send_digest(true, now);
     }
     led_before_ = leads;
     leads_gauge_.set(leads ? 1 : 0);
@@ -330,6 +342,7 @@
     report.self = leadership_.self();
     report.ready = own.ready;
     report.leaving = own.leaving;
+    report.reaches_store = store_reachable_;
     report.state_version = own.state_version;
     report.partitions = std::move(own.partitions);
     report.runs = std::move(own.runs);
@@ -384,15 +397,19 @@
     return result;
 }
 
-std::optional<core::instance_id> fleet_service::owner_of(std::uint32_t partition) const
+std::optional<fleet_service::partition_owner>
+fleet_service::owner_of(std::uint32_t partition) const
 {
+    std::optional<partition_owner> owner;
     for (const auto& [id, state] : members_) {
-        const auto& owned = state.partitions;
-        if (state.alive && std::find(owned.begin(), owned.end(), partition) != owned.end()) {
-            return id;
+        for (const serving::owned_partition& owned : state.partitions) {
+            const bool newer = !owner || owned.epoch > owner->epoch;
+            if (state.alive && owned.number == partition && newer) {
+                owner = partition_owner{id, owned.epoch};
+            }
         }
     }
-    return std::nullopt;
+    return owner;
 }
 
 void fleet_service::leave()
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -35,7 +35,7 @@
     bool ready = false;
     bool leaving = false;
     std::uint64_t state_version = 0;
-    std::vector<std::uint32_t> partitions;
+    std::vector<serving::owned_partition> partitions;
     std::vector<serving::reported_run> runs;
 };
 
@@ -96,8 +96,12 @@
     /// Instances that live and take callers, as far as known.
     std::vector<serving::fleet_member> ready_members() const;
 
-    /// Instance that owns a job partition, as far as known.
-    std::optional<core::instance_id> owner_of(std::uint32_t partition) const;
+    /// A job partition's owner, as far as known: of several, the one with the highest epoch.
+    struct partition_owner {
+        core::instance_id instance;
+        std::uint64_t epoch = 0;
+    };
+    std::optional<partition_owner> owner_of(std::uint32_t partition) const;
 
     /// Targets for placing without the leader.
     const std::vector<serving::target_entry>& known_targets() const { return targets_; }
@@ -117,10 +121,11 @@
         bool registered = false;
         bool ready = false;
         bool leaving = false;
+        bool reaches_store = false;
         core::time_point heard_at{};
         bool alive = false;
         bool forgotten = true;
-        std::vector<std::uint32_t> partitions;
+        std::vector<serving::owned_partition> partitions;
     };
 
     void on_message(const core::instance_id& from, serving::peer_message message);
@@ -133,6 +138,7 @@
     void send_digest(bool resigning, core::time_point now);
     serving::fleet_digest make_digest(bool full) const;
     double limit_share() const;
+    bool others_reach_store() const;
 
     http::event_loop& loop_;
     kernel::logger& logger_;
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -70,15 +70,34 @@
     return topic * settings_.partitions + place.partition;
 }
 
-std::vector<std::uint32_t> job_service::owned() const
+std::vector<serving::owned_partition> job_service::owned() const
 {
-    std::vector<std::uint32_t> numbers;
+    std::vector<serving::owned_partition> result;
     for (const auto& [number, partition] : partitions_) {
         if (partition->active()) {
-            numbers.push_back(number);
+            result.push_back({number, partition->epoch()});
+        }
+    }
+    return result;
+}
+
+bool job_service::is_superseded(std::uint32_t number, const job_partition& partition) const
+{
+    const auto owner = context_.fleet.owner_of(number);
+    return owner && owner->epoch > partition.epoch();
+}
+
+void job_service::drop_superseded()
+{
+    for (auto partition = partitions_.begin(); partition != partitions_.end();) {
+        const auto current = partition++;
+        if (is_superseded(current->first, *current->second)) {
+            context_.logger.write(kernel::log_level::warning, "partition_superseded",
+                                  {{"partition", std::to_string(current->first)},
+                                   {"epoch", std::to_string(current->second->epoch())}});
+            partitions_.erase(current);
         }
     }
-    return numbers;
 }
 
 std::size_t job_service::running() const
@@ -95,6 +114,7 @@
     if (participates_ && !leaving_ && !joining_ && now - join_sent_at_ >= settings_.join_interval) {
         join();
     }
+    drop_superseded();
     for (const auto& [number, partition] : partitions_) {
         partition->tick(now);
     }
@@ -185,7 +205,7 @@
         answer(caller, job_outcome::unavailable, no_owner_retry);
         return;
     }
-    forward(*owner, request, route, team, std::move(caller));
+    forward(owner->instance, request, route, team, std::move(caller));
 }
 
 void job_service::handle_here(std::uint32_t partition, const core::team_id& team,
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -61,7 +61,7 @@
     void leave(std::function<void()> done);
 
     /// Partitions that this instance owns.
-    std::vector<std::uint32_t> owned() const;
+    std::vector<serving::owned_partition> owned() const;
 
     /// Items that run here.
     std::size_t running() const;
@@ -72,6 +72,8 @@
     std::uint32_t number_of(const log_place& place) const;
     void join();
     void on_view(const group_view& view);
+    bool is_superseded(std::uint32_t number, const job_partition& partition) const;
+    void drop_superseded();
     void handle_here(std::uint32_t partition, const core::team_id& team, const job_call& call,
                      const std::shared_ptr<http::responder>& caller);
     void forward(const core::instance_id& owner, const caller_request& request,
--- a/src/edge/log_follower.hpp
+++ b/src/edge/log_follower.hpp
@@ -44,6 +44,9 @@
     /// Reads at the next tick.
     void hurry() { hurried_ = true; }
 
+    /// Whether the last read failed.
+    bool failing() const { return !reachable_.value_or(true); }
+
     /// When the last read was sent that succeeded; unset if none has.
     std::optional<core::time_point> read_at() const { return read_at_; }
 
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -48,20 +48,21 @@
 }
 
 template <class Builder>
-void write_partitions(Builder out, const std::vector<std::uint32_t>& in)
+void write_partitions(Builder out, const std::vector<serving::owned_partition>& in)
 {
     auto list = out.initPartitions(static_cast<unsigned>(in.size()));
     for (unsigned index = 0; index < in.size(); ++index) {
-        list.set(index, in[index]);
+        list[index].setNumber(in[index].number);
+        list[index].setEpoch(in[index].epoch);
     }
 }
 
 template <class Reader>
-std::vector<std::uint32_t> read_partitions(Reader in)
+std::vector<serving::owned_partition> read_partitions(Reader in)
 {
-    std::vector<std::uint32_t> out;
-    for (const std::uint32_t partition : in.getPartitions()) {
-        out.push_back(partition);
+    std::vector<serving::owned_partition> out;
+    for (const auto partition : in.getPartitions()) {
+        out.push_back({partition.getNumber(), partition.getEpoch()});
     }
     return out;
 }
@@ -172,6 +173,7 @@
     write(out.initSelf(), in.self);
     out.setReady(in.ready);
     out.setLeaving(in.leaving);
+    out.setReachesStore(in.reaches_store);
     out.setStateVersion(in.state_version);
     write_partitions(out, in.partitions);
     auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
@@ -189,6 +191,7 @@
     out.self = read(in.getSelf());
     out.ready = in.getReady();
     out.leaving = in.getLeaving();
+    out.reaches_store = in.getReachesStore();
     out.state_version = in.getStateVersion();
     out.partitions = read_partitions(in);
     for (const auto run : in.getRuns()) {
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -69,19 +69,25 @@
   silent @3 :Bool;
 }
 
+struct Partition {
+  number @0 :UInt32;
+  epoch @1 :UInt64;
+}
+
 struct Report {
   self @0 :Member;
   ready @1 :Bool;
   leaving @2 :Bool;
   stateVersion @3 :UInt64;
-  partitions @4 :List(UInt32);
+  partitions @4 :List(Partition);
   runs @5 :List(Run);
+  reachesStore @6 :Bool;
 }
 
 struct DigestMember {
   member @0 :Member;
   ready @1 :Bool;
-  partitions @2 :List(UInt32);
+  partitions @2 :List(Partition);
 }
 
 struct Digest {
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -58,22 +58,15 @@
     }
 }
 
-void leadership::tick(core::time_point now, bool fit)
+void leadership::tick(core::time_point now, bool fit, bool others_fit)
 {
     const bool paused = now - ticked_at_ > settings_.pause_max;
     ticked_at_ = now;
-    if (fit) {
-        unfit_since_.reset();
-    }
-    else if (!unfit_since_) {
-        unfit_since_ = now;
-    }
     if (left_) {
         return;
     }
     if (leads_) {
-        const bool blind = unfit_since_ && now - *unfit_since_ > settings_.unfit_delay;
-        if (paused || (blind && members_.size() > 1)) {
+        if (paused || (!fit && others_fit)) {
             leads_ = false;
             heard_at_ = now;
         }
@@ -85,13 +78,12 @@
         return;
     }
     auto wait = settings_.silence + settings_.step * static_cast<int>(position());
-    if (unfit_since_) {
-        wait += settings_.unfit_delay * 2;
+    if (!fit) {
+        wait += settings_.unfit_delay;
     }
     if (now - heard_at_ >= wait) {
         leads_ = true;
         leader_.reset();
-        unfit_since_ = fit ? std::nullopt : std::optional(now);
     }
 }
 
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -39,9 +39,9 @@
     std::size_t steps_max = 10;
     /// A leader that was not running for this long has probably been replaced.
     std::chrono::milliseconds pause_max{450};
-    /// An instance that cannot read the platform's store leads only if no other has within this
-    /// time.
-    std::chrono::milliseconds unfit_delay{1500};
+    /// An instance that cannot read the platform's store gives the others this much longer to take
+    /// the leader's place.
+    std::chrono::milliseconds unfit_delay{800};
 };
 
 /// Which instance places the requests of the whole fleet.
@@ -60,7 +60,9 @@
     void on_digest(const fleet_member& from, bool resigning, core::time_point now);
 
     /// Time has passed; to be called every 20 ms or so. `fit`: this instance can read the store.
-    void tick(core::time_point now, bool fit);
+    /// `others_fit`: some other instance can. A leader that cannot read the store, while another
+    /// can, knows less than that one and steps down.
+    void tick(core::time_point now, bool fit, bool others_fit);
 
     /// Stops to lead, and does not begin again.
     void leave();
@@ -81,7 +83,6 @@
     std::optional<fleet_member> leader_;
     core::time_point heard_at_;
     core::time_point ticked_at_;
-    std::optional<core::time_point> unfit_since_;
     bool leads_ = false;
     bool left_ = false;
 };
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -64,15 +64,26 @@
     std::uint64_t number = 0;
 };
 
+/// A job partition that an instance owns. An instance that cannot reach the store does not hear of
+/// its successor; of two owners the one with the higher epoch is the present one.
+struct owned_partition {
+    std::uint32_t number = 0;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const owned_partition&) const = default;
+};
+
 /// State of an instance, sent to the leader.
 struct instance_report {
     fleet_member self;
     /// Whether callers may be sent to it.
     bool ready = false;
     bool leaving = false;
+    /// Whether it can read the platform's store.
+    bool reaches_store = false;
     std::uint64_t state_version = 0;
     /// Job partitions that it owns.
-    std::vector<std::uint32_t> partitions;
+    std::vector<owned_partition> partitions;
     std::vector<reported_run> runs;
 };
 
@@ -80,7 +91,7 @@
 struct digest_member {
     fleet_member member;
     bool ready = false;
-    std::vector<std::uint32_t> partitions;
+    std::vector<owned_partition> partitions;
 };
 
 /// A target as the leader knows it.
