edge: keep the leader while the store is away for all

Ruled out: lost datagrams; frozen instances. Change: reports carry the age of what was read; a leader gives way to an instance whose reads are newer by more than an interval.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -120,7 +120,7 @@
                                           self.name + '-' + std::to_string(self.started_at));
     gateway_ = std::make_unique<caller_gateway>(*context_, *jobs_);
     state_follower_ = std::make_unique<log_follower>(
-        *loop_, *store_, translator_->state_place(),
+        *store_, translator_->state_place(),
         follower_callbacks{[this](const std::map<std::string, std::string>& all) {
                                const auto found = all.find(translator_->state_key());
                                if (found != all.end()) {
@@ -138,7 +138,7 @@
                                               reachable ? "store_reached" : "store_lost", {});
                            }});
     target_follower_ = std::make_unique<log_follower>(
-        *loop_, *store_, translator_->target_place(),
+        *store_, translator_->target_place(),
         follower_callbacks{
             [this](const std::map<std::string, std::string>& all) { take_all_targets(all); },
             [this](const std::string& key, const std::string& value) { take_target(key, value); },
@@ -147,7 +147,7 @@
                 reachable ? targets_.registry_regained(now) : targets_.registry_lost(now);
             }});
     registry_ = std::make_unique<member_registry>(
-        *loop_, *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
+        *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
             for (const serving::fleet_member& member : members) {
                 largest_capacity_ = std::max(largest_capacity_, member.capacity);
             }
@@ -236,8 +236,8 @@
         handle_directory(received, caller);
     };
     const auto on_internal = [this](http::request received,
-                                    std::shared_ptr<http::responder> caller) {
-        handle_internal(std::move(received), std::move(caller));
+                                    const std::shared_ptr<http::responder>& caller) {
+        handle_internal(std::move(received), caller);
     };
     const std::vector<listener> listeners{
         {&callers_server_, settings_.self.callers_address, on_caller},
@@ -291,11 +291,7 @@
     if (lone || fleet_->leads()) {
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
-    const auto read_at = state_follower_->read_at();
-    const milliseconds allowed =
-        state_follower_->failing() ? settings_.store_doubt : settings_.store_silence;
-    store_reachable_ = read_at && now - *read_at < allowed;
-    fleet_->set_store_reachable(store_reachable_);
+    fleet_->set_store_read_at(state_follower_->read_at());
     targets_.expire(now);
     publish_targets();
 }
@@ -479,7 +475,8 @@
     caller->send(translator_->encode_directory(addresses, settings_.directory_lifetime));
 }
 
-void edge_node::handle_internal(http::request received, std::shared_ptr<http::responder> caller)
+void edge_node::handle_internal(http::request received,
+                                const std::shared_ptr<http::responder>& caller)
 {
     if (received.target == metrics_path) {
         caller->send(
@@ -495,7 +492,7 @@
         caller->send({200, {{version_header, version}}, state_record_});
         return;
     }
-    jobs_->handle_forwarded(std::move(received), std::move(caller));
+    jobs_->handle_forwarded(std::move(received), caller);
 }
 
 void edge_node::note_reload(const std::string& faults)
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -67,7 +67,7 @@
                           const std::shared_ptr<http::responder>& caller);
     void handle_readiness(const http::request& received,
                           const std::shared_ptr<http::responder>& caller) const;
-    void handle_internal(http::request received, std::shared_ptr<http::responder> caller);
+    void handle_internal(http::request received, const std::shared_ptr<http::responder>& caller);
     std::unique_ptr<http::server> make_server(const std::string& address,
                                               http::server_handlers handlers);
     void start_leaving();
@@ -96,7 +96,6 @@
     serving::target_directory targets_;
     std::string state_record_;
     bool fetching_state_ = false;
-    bool store_reachable_ = false;
     bool targets_known_ = false;
     std::uint64_t targets_published_ = 0;
     std::uint64_t directory_turn_ = 0;
--- a/src/edge/edge_settings.hpp
+++ b/src/edge/edge_settings.hpp
@@ -30,10 +30,6 @@
     /// Between two reads of the members while this instance leads, and while it knows no leader.
     std::chrono::milliseconds member_interval{700};
     std::chrono::milliseconds lone_member_interval{300};
-    /// A store that has not answered a read for so long cannot be reached; the shorter time holds
-    /// while reads fail.
-    std::chrono::milliseconds store_silence{1300};
-    std::chrono::milliseconds store_doubt{800};
     /// Time for which a leaving instance serves callers that still have its address.
     std::chrono::milliseconds leave_linger{4500};
     /// Time after which a leaving instance ends, whatever is under way.
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -111,11 +111,19 @@
                     static_cast<double>(living) / static_cast<double>(all) + limit_share_allowance);
 }
 
-bool fleet_service::others_reach_store() const
+std::chrono::milliseconds fleet_service::store_age(core::time_point now) const
 {
-    return std::any_of(members_.begin(), members_.end(), [this](const auto& entry) {
-        return entry.first != leadership_.self().id && entry.second.alive &&
-               entry.second.reaches_store;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - store_read_at_.value_or(core::time_point()));
+}
+
+bool fleet_service::others_know_more(core::time_point now) const
+{
+    const auto own = store_age(now);
+    return std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const member_state& state = entry.second;
+        const bool other = entry.first != leadership_.self().id && state.alive;
+        return other && state.store_age + (now - state.heard_at) + settings_.store_lead < own;
     });
 }
 
@@ -193,7 +201,7 @@
     state.member = report.self;
     state.ready = report.ready;
     state.leaving = report.leaving;
-    state.reaches_store = report.reaches_store;
+    state.store_age = report.store_age;
     state.partitions = report.partitions;
     state.heard_at = now;
     state.alive = true;
@@ -284,14 +292,14 @@
 
 void fleet_service::tick(core::time_point now)
 {
-    leadership_.tick(now, store_reachable_, others_reach_store());
+    leadership_.tick(now, store_age(now) < settings_.store_silence, others_know_more(now));
     const bool leads = leadership_.leads();
     if (leads && !led_before_) {
         begin_leading(now);
     }
     if (!leads && led_before_) {
         logger_.write(kernel::log_level::info, "leadership_ended",
-                      {{"store_reachable", store_reachable_ ? "yes" : "no"}});
+                      {{"store_age_ms", std::to_string(store_age(now).count())}});
         // Whoever still follows this instance need not wait for its silence.
         send_digest(true, now);
     }
@@ -341,7 +349,7 @@
     report.self = leadership_.self();
     report.ready = own.ready;
     report.leaving = own.leaving;
-    report.reaches_store = store_reachable_;
+    report.store_age = store_age(steady_clock::now());
     report.state_version = own.state_version;
     report.partitions = std::move(own.partitions);
     report.runs = std::move(own.runs);
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -24,6 +24,12 @@
     std::chrono::milliseconds full_interval{2000};
     /// An instance whose reports stay away for this long is not named to callers any more.
     std::chrono::milliseconds member_silence{800};
+    /// An instance that has not heard from the store for so long does not take the lead before
+    /// others.
+    std::chrono::milliseconds store_silence{1300};
+    /// A leader gives way to an instance that has heard from the store so much later. More than the
+    /// interval of the reads: while the store is away for all, ages differ by less.
+    std::chrono::milliseconds store_lead{900};
     /// An instance whose reports stay away for this long has gone for good.
     std::chrono::milliseconds member_lifetime{30000};
     serving::leadership_settings leadership;
@@ -77,8 +83,8 @@
     /// All instances that are registered.
     void set_members(const std::vector<serving::fleet_member>& members);
 
-    /// Whether the store answers.
-    void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
+    /// When the newest answer of the store was asked for; unset if there has been none.
+    void set_store_read_at(std::optional<core::time_point> at) { store_read_at_ = at; }
 
     /// Gives a message to whoever leads. False if nobody is known to.
     bool tell_leader(const serving::peer_message& message);
@@ -121,7 +127,7 @@
         bool registered = false;
         bool ready = false;
         bool leaving = false;
-        bool reaches_store = false;
+        std::chrono::milliseconds store_age{0};
         core::time_point heard_at{};
         bool alive = false;
         bool forgotten = true;
@@ -138,7 +144,8 @@
     void send_digest(bool resigning, core::time_point now);
     serving::fleet_digest make_digest(bool full) const;
     double limit_share() const;
-    bool others_reach_store() const;
+    std::chrono::milliseconds store_age(core::time_point now) const;
+    bool others_know_more(core::time_point now) const;
 
     http::event_loop& loop_;
     kernel::logger& logger_;
@@ -149,7 +156,7 @@
     serving::fleet_placement placement_;
     std::map<core::instance_id, member_state> members_;
     std::vector<serving::target_entry> targets_;
-    bool store_reachable_ = false;
+    std::optional<core::time_point> store_read_at_;
     bool led_before_ = false;
     std::optional<core::instance_id> followed_;
     core::time_point sent_at_{};
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -262,7 +262,8 @@
     peers_.start(std::move(passed), std::move(observer));
 }
 
-void job_service::handle_forwarded(http::request received, std::shared_ptr<http::responder> caller)
+void job_service::handle_forwarded(http::request received,
+                                   const std::shared_ptr<http::responder>& caller)
 {
     const core::team_id team(received.headers.get(team_header));
     const std::string route = received.headers.get(route_header);
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -52,7 +52,7 @@
                 const core::team_id& team, std::shared_ptr<http::responder> caller);
 
     /// Handles a call that another instance has passed on.
-    void handle_forwarded(http::request received, std::shared_ptr<http::responder> caller);
+    void handle_forwarded(http::request received, const std::shared_ptr<http::responder>& caller);
 
     /// Time has passed; to be called every 20 ms.
     void tick(core::time_point now);
--- a/src/edge/log_follower.cpp
+++ b/src/edge/log_follower.cpp
@@ -14,9 +14,8 @@
 
 } // namespace
 
-log_follower::log_follower(http::event_loop& loop, store& durable, log_place place,
-                           follower_callbacks callbacks)
-    : loop_(loop), store_(durable), place_(std::move(place)), callbacks_(std::move(callbacks))
+log_follower::log_follower(store& durable, log_place place, follower_callbacks callbacks)
+    : store_(durable), place_(std::move(place)), callbacks_(std::move(callbacks))
 {
 }
 
--- a/src/edge/log_follower.hpp
+++ b/src/edge/log_follower.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "core/types.hpp"
 #include "edge/store.hpp"
-#include "http/event_loop.hpp"
 
 #include <chrono>
 #include <functional>
@@ -27,8 +27,7 @@
 /// like a log without news. For the loop's thread.
 class log_follower {
 public:
-    log_follower(http::event_loop& loop, store& durable, log_place place,
-                 follower_callbacks callbacks);
+    log_follower(store& durable, log_place place, follower_callbacks callbacks);
     ~log_follower();
     log_follower(const log_follower&) = delete;
     log_follower& operator=(const log_follower&) = delete;
@@ -44,9 +43,6 @@
     /// Reads at the next tick.
     void hurry() { hurried_ = true; }
 
-    /// Whether the last read failed.
-    bool failing() const { return !reachable_.value_or(true); }
-
     /// When the last read was sent that succeeded; unset if none has.
     std::optional<core::time_point> read_at() const { return read_at_; }
 
@@ -56,7 +52,6 @@
     void on_failure(const store_error& error);
     void on_success(core::time_point sent);
 
-    http::event_loop& loop_;
     store& store_;
     log_place place_;
     follower_callbacks callbacks_;
--- a/src/edge/member_registry.cpp
+++ b/src/edge/member_registry.cpp
@@ -26,11 +26,10 @@
 } // namespace
 
 member_registry::member_registry(
-    http::event_loop& loop, store& durable, kernel::logger& logger, serving::fleet_member self,
+    store& durable, kernel::logger& logger, serving::fleet_member self,
     std::function<void(const std::vector<serving::fleet_member>&)> on_members)
-    : loop_(loop), store_(durable), logger_(logger), self_(std::move(self)),
-      on_members_(std::move(on_members)),
-      follower_(loop, durable, members_place,
+    : store_(durable), logger_(logger), self_(std::move(self)), on_members_(std::move(on_members)),
+      follower_(durable, members_place,
                 {[this](const std::map<std::string, std::string>& all) {
                      members_.clear();
                      for (const auto& [key, value] : all) {
--- a/src/edge/member_registry.hpp
+++ b/src/edge/member_registry.hpp
@@ -2,7 +2,6 @@
 
 #include "edge/log_follower.hpp"
 #include "edge/store.hpp"
-#include "http/event_loop.hpp"
 #include "kernel/kernel.hpp"
 #include "serving/serving.hpp"
 
@@ -20,8 +19,7 @@
 /// loop's thread.
 class member_registry {
 public:
-    member_registry(http::event_loop& loop, store& durable, kernel::logger& logger,
-                    serving::fleet_member self,
+    member_registry(store& durable, kernel::logger& logger, serving::fleet_member self,
                     std::function<void(const std::vector<serving::fleet_member>&)> on_members);
     ~member_registry();
     member_registry(const member_registry&) = delete;
@@ -46,7 +44,6 @@
     void take(const std::string& key, const std::string& value);
     void tell();
 
-    http::event_loop& loop_;
     store& store_;
     kernel::logger& logger_;
     serving::fleet_member self_;
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -17,9 +17,6 @@
 /// Callers are not spread evenly, so that equal shares would leave slots empty.
 constexpr double local_overcommit = 1.5;
 
-/// Part of its share of the burst that local placement starts with.
-constexpr double local_limit_level = 0.5;
-
 milliseconds until(core::time_point end, core::time_point now)
 {
     return std::chrono::ceil<milliseconds>(end - now);
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -173,7 +173,7 @@
     write(out.initSelf(), in.self);
     out.setReady(in.ready);
     out.setLeaving(in.leaving);
-    out.setReachesStore(in.reaches_store);
+    out.setStoreAgeMs(to_wire(in.store_age));
     out.setStateVersion(in.state_version);
     write_partitions(out, in.partitions);
     auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
@@ -191,7 +191,7 @@
     out.self = read(in.getSelf());
     out.ready = in.getReady();
     out.leaving = in.getLeaving();
-    out.reaches_store = in.getReachesStore();
+    out.store_age = milliseconds(in.getStoreAgeMs());
     out.state_version = in.getStateVersion();
     out.partitions = read_partitions(in);
     for (const auto run : in.getRuns()) {
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -81,7 +81,7 @@
   stateVersion @3 :UInt64;
   partitions @4 :List(Partition);
   runs @5 :List(Run);
-  reachesStore @6 :Bool;
+  storeAgeMs @6 :Int32;
 }
 
 struct DigestMember {
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -244,8 +244,7 @@
 
 bool client_call::check_head()
 {
-    const bool unframed =
-        !parser_->is_done() && !parser_->chunked() && !parser_->content_length();
+    const bool unframed = !parser_->is_done() && !parser_->chunked() && !parser_->content_length();
     if (unframed && !core_->settings.accept_unframed) {
         // Its end could not be told from a lost connection.
         fail(call_outcome::invalid_answer, "the answer declares no length");
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -58,7 +58,7 @@
     }
 }
 
-void leadership::tick(core::time_point now, bool fit, bool others_fit)
+void leadership::tick(core::time_point now, bool fit, bool others_know_more)
 {
     const bool paused = now - ticked_at_ > settings_.pause_max;
     ticked_at_ = now;
@@ -66,7 +66,7 @@
         return;
     }
     if (leads_) {
-        if (paused || (!fit && others_fit)) {
+        if (paused || others_know_more) {
             leads_ = false;
             heard_at_ = now;
         }
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -60,9 +60,9 @@
     void on_digest(const fleet_member& from, bool resigning, core::time_point now);
 
     /// Time has passed; to be called every 20 ms or so. `fit`: this instance can read the store.
-    /// `others_fit`: some other instance can. A leader that cannot read the store, while another
-    /// can, knows less than that one and steps down.
-    void tick(core::time_point now, bool fit, bool others_fit);
+    /// `others_know_more`: another instance has read it later. A leader that cannot read the store
+    /// steps down for such an instance.
+    void tick(core::time_point now, bool fit, bool others_know_more);
 
     /// Stops to lead, and does not begin again.
     void leave();
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -79,8 +79,8 @@
     /// Whether callers may be sent to it.
     bool ready = false;
     bool leaving = false;
-    /// Whether it can read the platform's store.
-    bool reaches_store = false;
+    /// Age of what it has read from the platform's store.
+    std::chrono::milliseconds store_age{0};
     std::uint64_t state_version = 0;
     /// Job partitions that it owns.
     std::vector<owned_partition> partitions;
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -184,13 +184,12 @@
     // left to do: taking turns instead would bring all items to their due times unfinished.
     std::pair<bool, core::duration> most(false, core::duration::zero());
     for (const auto& [key, entry] : runs_) {
-        if (entry.kind != work_kind::batch || entry.yielding ||
-            entry.service != question.service || contains(question.excluded, entry.target)) {
+        if (entry.kind != work_kind::batch || entry.yielding || entry.service != question.service ||
+            contains(question.excluded, entry.target)) {
             continue;
         }
         const auto target = of.targets.find(entry.target);
-        const bool reachable = target != of.targets.end() &&
-                               target->second.health.available(now) &&
+        const bool reachable = target != of.targets.end() && target->second.health.available(now) &&
                                !target->second.health.on_probation();
         const core::duration left = slack(of, entry, now);
         const bool overdue = left < core::duration::zero();
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -138,7 +138,8 @@
 /// while batch items fill what is left and are due some seconds later. Targets admit requests in
 /// order of arrival and know no priorities, so the queue is kept here and a target gets no more
 /// work than it has slots:
-/// - an online request takes a free slot at once, or that of the batch run with the most left to do;
+/// - an online request takes a free slot at once, or that of the batch run with the most left to
+/// do;
 /// - batch items go by what they have left to do, so that a backlog is not due all at once;
 /// - a batch item near its due time goes before online work and keeps its slot;
 /// - an online request whose first event cannot come in time is refused at its arrival, with a time
--- a/stand_ins/log_store.cpp
+++ b/stand_ins/log_store.cpp
@@ -174,9 +174,8 @@
 
 http::response log_store::append(const http::target_parts& parts, const std::string& body)
 {
-    const auto result =
-        state_.append(place_of(parts), split_records(body), text(parts, "producer"),
-                      number_of(parts, "epoch"), number_of(parts, "sequence"));
+    const auto result = state_.append(place_of(parts), split_records(body), text(parts, "producer"),
+                                      number_of(parts, "epoch"), number_of(parts, "sequence"));
     if (result.status != 200) {
         return json_answer(result.status, {{"why", result.why}});
     }
@@ -222,11 +221,10 @@
     for (const json::value& topic : call.at("topics").as_array()) {
         topics.emplace_back(topic.as_string());
     }
-    const auto [generation, places] =
-        state_.join(std::string(call.at("group").as_string()),
-                    std::string(call.at("member").as_string()), topics,
-                    std::chrono::milliseconds(call.at("ttl_ms").to_number<std::int64_t>()),
-                    log_store_state::clock::now());
+    const auto [generation, places] = state_.join(
+        std::string(call.at("group").as_string()), std::string(call.at("member").as_string()),
+        topics, std::chrono::milliseconds(call.at("ttl_ms").to_number<std::int64_t>()),
+        log_store_state::clock::now());
     json::array rows;
     for (const auto& [topic, part] : places) {
         rows.push_back(json::array{topic, part, 0});
--- a/stand_ins/log_store_state.cpp
+++ b/stand_ins/log_store_state.cpp
@@ -118,8 +118,7 @@
     for (const std::string& topic : joined.topics) {
         for (std::uint32_t part = 0; part < partitions_; ++part, ++index) {
             const auto owner = std::next(
-                joined.members.begin(),
-                static_cast<std::ptrdiff_t>(index % joined.members.size()));
+                joined.members.begin(), static_cast<std::ptrdiff_t>(index % joined.members.size()));
             if (owner->first == member) {
                 mine.emplace_back(topic, part);
             }
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -28,11 +28,11 @@
 {
     server_ = std::make_unique<http::server>(
         loop_, http::server_settings{},
-        http::server_handlers{[this](const http::request& received,
-                                     const std::shared_ptr<http::responder>& caller) {
-                                  handle(received, caller);
-                              },
-                              {}});
+        http::server_handlers{
+            [this](const http::request& received, const std::shared_ptr<http::responder>& caller) {
+                handle(received, caller);
+            },
+            {}});
     port_ = server_->start().value();
 }
 
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -115,11 +115,10 @@
                              R"("state":"draining","born":12})";
     const auto entry = adapter::decode_target("i", good);
     cr_assert(entry.has_value() && entry->draining && entry->started_at == 12);
-    for (const char* bad :
-         {R"({"service":"a","address":"x","slots":8,"state":"odd"})",
-          R"({"service":7,"address":"x","slots":8,"state":"ready"})",
-          R"({"service":"a","address":"x","slots":"8","state":"ready"})",
-          R"({"service":"a","slots":8,"state":"ready"})", "\xff", ""}) {
+    for (const char* bad : {R"({"service":"a","address":"x","slots":8,"state":"odd"})",
+                            R"({"service":7,"address":"x","slots":8,"state":"ready"})",
+                            R"({"service":"a","address":"x","slots":"8","state":"ready"})",
+                            R"({"service":"a","slots":8,"state":"ready"})", "\xff", ""}) {
         cr_assert_not(adapter::decode_target("i", bad).has_value(), "%s", bad);
     }
 }
@@ -165,8 +164,8 @@
     cr_assert(protocol.read_answer(sure, "id").not_run);
     const http::response_head elsewhere{421, {}};
     cr_assert(protocol.read_answer(elsewhere, "id").not_run);
-    const auto failed = protocol.encode_refusal(edge::refusal_reason::target_failed, "id",
-                                                milliseconds(100));
+    const auto failed =
+        protocol.encode_refusal(edge::refusal_reason::target_failed, "id", milliseconds(100));
     cr_assert_eq(failed.status, 502U);
     cr_assert(failed.headers.get(names::retry_after).empty());
 }
@@ -175,7 +174,8 @@
 Test(job_call_codec, reads_the_calls)
 {
     http::request received = caller_request();
-    received.body = R"({"items":[{"id":"i","path":"/p","headers":{"A":"b"},"body":"cHJv","tokens":9}]})";
+    received.body =
+        R"({"items":[{"id":"i","path":"/p","headers":{"A":"b"},"body":"cHJv","tokens":9}]})";
     auto request = adapter::decode_request(received);
     auto call = adapter::decode_job_call(*request, true);
     cr_assert(call.has_value());
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -7,8 +7,6 @@
 #include <boost/json.hpp>
 
 #include <cassert>
-#include <cstdlib>
-#include <fstream>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -47,9 +45,9 @@
 
 json::object route(const std::string& name, const std::string& prefix, const std::string& kind)
 {
-    return {{"name", name},      {"host", host},        {"path_prefix", prefix},
-            {"kind", kind},      {"timeout_ms", 5000},  {"goal_ms", 300},
-            {"service", "lm"},   {"attempts", 3},       {"public", false}};
+    return {{"name", name},    {"host", host},       {"path_prefix", prefix},
+            {"kind", kind},    {"timeout_ms", 5000}, {"goal_ms", 300},
+            {"service", "lm"}, {"attempts", 3},      {"public", false}};
 }
 
 } // namespace
@@ -75,9 +73,9 @@
         engine.events = options_.events;
         engine.event_gap = options_.event_gap;
         engines.push_back(std::make_unique<stand_ins::model_engine>(engine));
-        const json::object entry{{"service", "lm"},         {"address", engines.back()->address()},
-                                 {"zone", "a"},             {"slots", options_.slots},
-                                 {"state", "ready"},        {"sequence", 1},
+        const json::object entry{{"service", "lm"},  {"address", engines.back()->address()},
+                                 {"zone", "a"},      {"slots", options_.slots},
+                                 {"state", "ready"}, {"sequence", 1},
                                  {"born", 1000}};
         store.put(names::target_topic, engine.id, json::serialize(entry));
     }
@@ -133,24 +131,18 @@
     settings.leave_linger = milliseconds(500);
     const std::string door = store.address(doors_.at(instance));
     gooseberryfall::kernel::logger_settings log;
-    // Set GOOSEBERRYFALL_LOGS to a folder to see the instances' lines.
-    const char* folder = std::getenv("GOOSEBERRYFALL_LOGS");
-    const std::string path =
-        folder == nullptr ? std::string("/dev/null")
-                          : std::string(folder) + '/' + std::to_string(instance) + ".log";
-    logs_.at(instance) = std::make_unique<std::ofstream>(path, std::ios::app);
+    logs_.at(instance) = std::make_unique<std::ostringstream>();
     log.out = logs_.at(instance).get();
-    nodes.at(instance) =
-        edge::edge_node::builder()
-            .with_settings(settings)
-            .with_protocol(std::make_unique<adapter::platform_protocol>())
-            .with_store([door](http::event_loop& loop) {
-                adapter::log_store_settings client;
-                client.address = door;
-                return std::make_unique<adapter::log_store>(loop, client);
-            })
-            .with_log(log)
-            .build();
+    nodes.at(instance) = edge::edge_node::builder()
+                             .with_settings(settings)
+                             .with_protocol(std::make_unique<adapter::platform_protocol>())
+                             .with_store([door](http::event_loop& loop) {
+                                 adapter::log_store_settings client;
+                                 client.address = door;
+                                 return std::make_unique<adapter::log_store>(loop, client);
+                             })
+                             .with_log(log)
+                             .build();
     const auto started = nodes.at(instance)->start();
     if (!started) {
         throw std::runtime_error(started.error());
@@ -162,6 +154,12 @@
     nodes.at(instance).reset();
 }
 
+std::string edge_deployment::log_of(std::size_t instance) const
+{
+    assert(nodes.at(instance) == nullptr);
+    return logs_.at(instance)->str();
+}
+
 void edge_deployment::restart(std::size_t instance)
 {
     start(instance);
@@ -184,8 +182,7 @@
 
 http::call_result edge_deployment::call(std::size_t instance, const std::string& method,
                                         const std::string& target,
-                                        const http::header_fields& headers,
-                                        const std::string& body)
+                                        const http::header_fields& headers, const std::string& body)
 {
     http::header_fields all = headers;
     all.set("Host", host);
@@ -233,9 +230,8 @@
         [&] {
             const auto page = results(instance, job);
             body = page.body;
-            return page.head.status == 200 &&
-                   json::parse(body).at("results").as_array().size() ==
-                       static_cast<std::size_t>(items);
+            return page.head.status == 200 && json::parse(body).at("results").as_array().size() ==
+                                                  static_cast<std::size_t>(items);
         },
         limit);
     return body;
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <ostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -43,17 +43,21 @@
 
     /// Ends an instance without a word.
     void kill(std::size_t instance);
+    /// Log lines of an instance that was killed.
+    std::string log_of(std::size_t instance) const;
     /// Starts an instance that was killed.
     void restart(std::size_t instance);
 
     /// Sends a stream request to an instance.
-    gooseberryfall::http::call_result stream(std::size_t instance, const std::string& id, bool resumable = true,
-                            const std::string& key = "key-a");
+    gooseberryfall::http::call_result stream(std::size_t instance, const std::string& id,
+                                             bool resumable = true,
+                                             const std::string& key = "key-a");
 
     /// Submits a job of some items; the status.
     unsigned submit(std::size_t instance, const std::string& job, int items);
     /// Reads the results of a job from a position on: status and body.
-    gooseberryfall::http::call_result results(std::size_t instance, const std::string& job, int after = 0);
+    gooseberryfall::http::call_result results(std::size_t instance, const std::string& job,
+                                              int after = 0);
     /// Reads until all results are there, or the time is over.
     std::string all_results(std::size_t instance, const std::string& job, int items,
                             std::chrono::seconds limit = std::chrono::seconds(15));
@@ -61,9 +65,9 @@
 
     /// Makes a call to the callers' listener of an instance.
     gooseberryfall::http::call_result call(std::size_t instance, const std::string& method,
-                          const std::string& target,
-                          const gooseberryfall::http::header_fields& headers,
-                          const std::string& body = {});
+                                           const std::string& target,
+                                           const gooseberryfall::http::header_fields& headers,
+                                           const std::string& body = {});
 
     std::string callers_address(std::size_t instance) const;
     std::string readiness_address(std::size_t instance) const;
@@ -81,7 +85,7 @@
 
     options options_;
     std::vector<std::size_t> doors_;
-    std::vector<std::unique_ptr<std::ostream>> logs_;
+    std::vector<std::unique_ptr<std::ostringstream>> logs_;
     std::int64_t starts_ = 0;
 };
 
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -69,8 +69,8 @@
     edge_deployment deployment({});
     deployment.wait_until_serving();
     cr_assert_eq(deployment.stream(0, "r1", true, "other").head.status, 401U);
-    const auto unknown = deployment.call(0, "POST", "/nowhere/x",
-                                         {{"Authorization", "Bearer key-a"}}, "prompt");
+    const auto unknown =
+        deployment.call(0, "POST", "/nowhere/x", {{"Authorization", "Bearer key-a"}}, "prompt");
     cr_assert_eq(unknown.head.status, 404U);
     cr_assert(deployment.runs_of("r1").empty());
 }
@@ -169,9 +169,8 @@
     request.address = deployment.callers_address(0);
     request.method = "POST";
     request.target = "/fixed/x";
-    request.headers = {{"Host", "proofs.example"},
-                       {names::request_id, "r1"},
-                       {"Authorization", "Bearer key-a"}};
+    request.headers = {
+        {"Host", "proofs.example"}, {names::request_id, "r1"}, {"Authorization", "Bearer key-a"}};
     const auto call = client.start(request, {});
     cr_assert(eventually([&] { return deployment.runs_of("r1").size() == 1; }));
     call->cancel();
@@ -196,7 +195,8 @@
     for (const json::value& entry : page.at("results").as_array()) {
         const std::string item(entry.at("id").as_string());
         const std::string path = "/notes/job/" + item.substr(item.rfind('-') + 1);
-        cr_assert(std::string(entry.at("output").as_string()) == stand_ins::model_engine::whole_text(path, 10));
+        cr_assert(std::string(entry.at("output").as_string()) ==
+                  stand_ins::model_engine::whole_text(path, 10));
         cr_assert_eq(deployment.runs_of(item).size(), 1U);
     }
     cr_assert_eq(deployment.results(0, "none").head.status, 404U);
@@ -270,8 +270,8 @@
     edge_deployment deployment({});
     deployment.wait_until_serving();
     deployment.put_state(5, {"key-b"});
-    cr_assert(eventually(
-        [&] { return deployment.stream(0, "r", true, "key-b").head.status == 200; }));
+    cr_assert(
+        eventually([&] { return deployment.stream(0, "r", true, "key-b").head.status == 200; }));
     deployment.put_state(4, {"key-a"});
     deployment.store.put(names::state_topic, names::state_key, "{broken");
     std::this_thread::sleep_for(seconds(2));
@@ -279,7 +279,8 @@
     cr_assert_eq(deployment.stream(0, "r", true, "key-b").head.status, 200U);
 }
 
-// Guards against jobs that are accepted twice or answered falsely when the store's answers are lost.
+// Guards against jobs that are accepted twice or answered falsely when the store's answers are
+// lost.
 Test(edge_node, lost_answers_of_the_store_do_no_harm, .timeout = 60)
 {
     edge_deployment deployment({});
@@ -302,9 +303,9 @@
     deployment.wait_until_serving();
     deployment.store.forget_history();
     deployment.put_state(3, {"key-a", "key-c"});
-    cr_assert(eventually(
-        [&] { return deployment.stream(0, "r", true, "key-c").head.status == 200; },
-        milliseconds(2500)));
+    cr_assert(
+        eventually([&] { return deployment.stream(0, "r", true, "key-c").head.status == 200; },
+                   milliseconds(2500)));
     cr_assert_eq(deployment.submit(0, "job", 2), 202U);
     cr_assert_eq(result_count(deployment.all_results(1, "job", 2)), 2U);
 }
@@ -328,14 +329,34 @@
     }
 }
 
+// Guards against a lead that changes hands again and again while no instance can read the store:
+// each time requests wait, and limits start anew.
+Test(edge_node, the_leader_stays_while_the_store_is_away_for_all, .timeout = 60)
+{
+    edge_deployment deployment({});
+    deployment.wait_until_serving();
+    deployment.store.set_mode_of_all(stand_ins::door_mode::busy);
+    std::this_thread::sleep_for(seconds(5));
+    cr_assert_eq(deployment.stream(0, "r1").head.status, 200U);
+    int leaders = 0;
+    for (std::size_t instance = 0; instance < 3; ++instance) {
+        deployment.kill(instance);
+        const std::string log = deployment.log_of(instance);
+        for (std::size_t at = log.find("leadership_begun"); at != std::string::npos;
+             at = log.find("leadership_begun", at + 1)) {
+            ++leaders;
+        }
+    }
+    cr_assert_eq(leaders, 1);
+}
+
 // Guards against a stream that is cut because its instance leaves, and against callers that are
 // still sent there.
 Test(edge_node, leaves_without_cutting_a_stream, .timeout = 60)
 {
     edge_deployment deployment({.events = 60, .event_gap = milliseconds(20)});
     deployment.wait_until_serving();
-    auto answer =
-        std::async(std::launch::async, [&] { return deployment.stream(0, "r1", false); });
+    auto answer = std::async(std::launch::async, [&] { return deployment.stream(0, "r1", false); });
     cr_assert(eventually([&] { return deployment.runs_of("r1").size() == 1; }));
     deployment.nodes[0]->begin_leaving();
     cr_assert(eventually([&] {
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -78,10 +78,10 @@
     cr_assert(fleet.targets.front().entry.address == "a:1");
 
     serving::instance_report report;
-    report.reaches_store = true;
+    report.store_age = milliseconds(70);
     report.runs = {{8, core::target_id("t"), serving::work_kind::batch, true}};
     const auto told = round_trip(report);
-    cr_assert(told.reaches_store);
+    cr_assert(told.store_age == milliseconds(70));
     cr_assert(told.runs.front().silent);
 }
 
--- a/tests/serving/leadership_test.cpp
+++ b/tests/serving/leadership_test.cpp
@@ -26,10 +26,10 @@
 
 /// Ticks every 20 ms up to a time and returns when the instance began to lead.
 std::optional<milliseconds> leads_after(leadership& of, milliseconds limit, bool fit = true,
-                                        bool others_fit = false)
+                                        bool others_know_more = false)
 {
     for (milliseconds at{0}; at <= limit; at += milliseconds(20)) {
-        of.tick(start + at, fit, others_fit);
+        of.tick(start + at, fit, others_know_more);
         if (of.leads()) {
             return at;
         }
@@ -96,7 +96,7 @@
     cr_assert(begun.has_value());
     const core::time_point later = start + *begun + milliseconds(20);
     self.tick(later, false, false);
-    cr_assert(self.leads(), "nobody knows more");
+    cr_assert(self.leads(), "nobody knows more while the store is away for all");
     self.tick(later + milliseconds(20), false, true);
     cr_assert_not(self.leads());
 }
--- a/tests/serving/load_replay_test.cpp
+++ b/tests/serving/load_replay_test.cpp
@@ -319,8 +319,8 @@
                   scheduled.items);
 }
 
-// Load pattern: a backlog of items, as after a power loss, that is twice what can be done by the due
-// time. Guards against items that share the slots until all of them are late.
+// Load pattern: a backlog of items, as after a power loss, that is twice what can be done by the
+// due time. Guards against items that share the slots until all of them are late.
 Test(load_replay, a_backlog_beyond_its_due_time)
 {
     std::vector<arrival> arrivals = steps(10, 30, seconds(18), 17);
