cli, kernel, edge: tell from logs what became of a request

Cause: on-call engineers have logs and metrics only; a refusal's inputs stood in no line, and a flood of lines had no bound but the queue's. Change: the leader writes the inputs of each denial with the call's number; ends of item runs and the first byte are logged; gooseberryfall explain joins the lines of all instances; at most 600 lines a second of the lower levels, the rest counted in a line.

--- a/src/cli/command_table.hpp
+++ b/src/cli/command_table.hpp
@@ -19,6 +19,7 @@
     key_issue,
     key_withdraw,
     drain,
+    explain,
     help,
 };
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -137,6 +137,7 @@
     case command_id::drain:
         return drain();
     case command_id::validate:
+    case command_id::explain:
     case command_id::help:
         break;
     }
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -2,12 +2,14 @@
 
 #include "cli/commands.hpp"
 #include "cli/help.hpp"
+#include "cli/log_story.hpp"
 
 #include "config/fleet_file.hpp"
 
 #include <boost/json.hpp>
 
-#include <ostream>
+#include <fstream>
+#include <iostream>
 
 namespace gooseberryfall::cli {
 
@@ -31,6 +33,29 @@
     return {};
 }
 
+result<void> explain_id(const invocation& call, std::ostream& out)
+{
+    const std::string& file = call.arguments[0];
+    const std::string& id = call.arguments[1];
+    std::ifstream opened;
+    if (file != "-") {
+        opened.open(file);
+        if (!opened) {
+            return fail(exit_code::bad_file, file + " cannot be read", "check the path");
+        }
+    }
+    const log_story story = explain(read_log(file == "-" ? std::cin : opened), id);
+    if (story.entries.empty()) {
+        return fail(exit_code::refused, "no line names " + id,
+                    "look for lines_suppressed, and at the logs of all instances");
+    }
+    for (const log_entry& entry : story.entries) {
+        out << entry.source << entry.text << "\n";
+    }
+    out << "cause: " << (story.cause.empty() ? "not known from these lines" : story.cause) << "\n";
+    return {};
+}
+
 result<void> help(const invocation& call, std::ostream& out)
 {
     const auto text = help_text(call.arguments);
@@ -46,6 +71,8 @@
     switch (call.command->id) {
     case command_id::validate:
         return validate(call, out);
+    case command_id::explain:
+        return explain_id(call, out);
     case command_id::help:
         return help(call, out);
     default:
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -21,6 +21,10 @@
 /// idle, so that the caller closes first.
 constexpr milliseconds caller_idle{75000};
 
+/// Three lines for each of some 200 requests in a second, which is more than an instance serves;
+/// what floods it beyond that is counted.
+constexpr std::uint32_t log_lines_per_second = 600;
+
 constexpr std::size_t caller_answer_buffer = 128U << 10U;
 
 constexpr const char* state_path = "/state";
@@ -79,6 +83,7 @@
     if (log_.out == nullptr) {
         log_.out = &std::cout;
     }
+    log_.lines_per_second = log_lines_per_second;
     auto loop = std::make_unique<http::event_loop>("edge");
     auto durable = make_store_(*loop);
     return std::unique_ptr<edge_node>(new edge_node(
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -156,6 +156,7 @@
 void fleet_service::deliver(const std::vector<serving::addressed_message>& messages)
 {
     for (const auto& [to, message] : messages) {
+        log_denial(to, message);
         if (to != leadership_.self().id) {
             socket_.send(to, message);
             continue;
@@ -169,6 +170,26 @@
     }
 }
 
+void fleet_service::log_denial(const core::instance_id& to, const peer_message& message)
+{
+    const auto* reply = std::get_if<serving::slot_reply>(&message);
+    const auto* denied =
+        reply == nullptr ? nullptr : std::get_if<serving::slot_denied>(&reply->result);
+    if (denied == nullptr) {
+        return;
+    }
+    const serving::scheduler_state state = placement_.slots().state();
+    logger_.write(kernel::log_level::info, "call_denied",
+                  {{"call", std::to_string(reply->number)},
+                   {"instance", to.value()},
+                   {"reason", serving::to_text(denied->reason)},
+                   {"slots", std::to_string(state.slots)},
+                   {"online_running", std::to_string(state.online_running)},
+                   {"batch_running", std::to_string(state.batch_running)},
+                   {"online_waiting", std::to_string(state.online_waiting)},
+                   {"retry_after_ms", std::to_string(denied->retry_after.count())}});
+}
+
 void fleet_service::on_message(const core::instance_id& from, peer_message message)
 {
     const core::time_point now = steady_clock::now();
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -138,6 +138,7 @@
     void on_report(const core::instance_id& from, const serving::instance_report& report);
     void on_digest(const serving::fleet_digest& digest);
     void deliver(const std::vector<serving::addressed_message>& messages);
+    void log_denial(const core::instance_id& to, const serving::peer_message& message);
     void begin_leading(core::time_point now);
     void check_members(core::time_point now);
     void send_report(const core::instance_id& to);
--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -60,7 +60,7 @@
     const auto* granted = std::get_if<serving::slot_granted>(&answer.result);
     if (granted == nullptr) {
         slot_ = 0;
-        finish(item_outcome::interrupted);
+        finish(item_outcome::interrupted, "no_slot");
         return;
     }
     target_ = granted->target;
@@ -115,7 +115,7 @@
         self->done_ = true;
         self->cancel_call();
         self->end_slot(serving::slot_outcome::silent);
-        self->finish(item_outcome::interrupted);
+        self->finish(item_outcome::interrupted, "target_silent");
     });
 }
 
@@ -176,19 +176,19 @@
         end_slot(serving::slot_outcome::broken);
         break;
     }
-    finish(item_outcome::interrupted);
+    finish(item_outcome::interrupted, http::to_text(result.outcome));
 }
 
 void item_run::on_whole_answer()
 {
     if (!facts_.ours) {
         end_slot(serving::slot_outcome::broken);
-        finish(item_outcome::interrupted);
+        finish(item_outcome::interrupted, "foreign_answer");
         return;
     }
     if (facts_.not_run) {
         end_slot(serving::slot_outcome::not_run);
-        finish(item_outcome::interrupted);
+        finish(item_outcome::interrupted, "refused_by_target");
         return;
     }
     if (head_.status == 200 && facts_.authentic && events_.rest().empty()) {
@@ -196,17 +196,17 @@
             order_.progress.text = plain_body_;
         }
         end_slot(serving::slot_outcome::completed);
-        finish(item_outcome::completed);
+        finish(item_outcome::completed, "completed");
         return;
     }
     if (head_.status == status_impossible) {
         end_slot(serving::slot_outcome::completed);
-        finish(item_outcome::impossible);
+        finish(item_outcome::impossible, "impossible");
         return;
     }
     const bool failed = head_.status == 500;
     end_slot(head_.status == 200 ? serving::slot_outcome::broken : serving::slot_outcome::failed);
-    finish(failed ? item_outcome::failed : item_outcome::interrupted);
+    finish(failed ? item_outcome::failed : item_outcome::interrupted, "target_failed");
 }
 
 void item_run::yield()
@@ -218,7 +218,7 @@
     done_ = true;
     cancel_call();
     end_slot(serving::slot_outcome::cancelled);
-    finish(item_outcome::interrupted);
+    finish(item_outcome::interrupted, "yielded");
 }
 
 void item_run::cancel_call()
@@ -244,9 +244,18 @@
     end_slot(serving::slot_outcome::cancelled);
 }
 
-void item_run::finish(item_outcome outcome)
+void item_run::finish(item_outcome outcome, const char* reason)
 {
     done_ = true;
+    if (!target_.empty()) {
+        const auto& last = order_.progress.last_event;
+        context_.logger.write(kernel::log_level::info, "item_run_ended",
+                              {{"id", order_.item.id},
+                               {"job", order_.key.job},
+                               {"target", target_.value()},
+                               {"reason", reason},
+                               {"last_event", last ? std::to_string(*last) : "none"}});
+    }
     if (stall_watch_ != nullptr) {
         stall_watch_->cancel();
     }
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -74,7 +74,7 @@
     void yield();
     void end_slot(serving::slot_outcome outcome);
     void cancel_call();
-    void finish(item_outcome outcome);
+    void finish(item_outcome outcome, const char* reason);
 
     edge_context& context_;
     item_order order_;
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -114,7 +114,7 @@
         return;
     }
     if (const auto* denied = std::get_if<serving::slot_denied>(&answer.result)) {
-        slot_ = 0;
+        denied_call_ = std::exchange(slot_, 0);
         if (may_have_run_) {
             refuse(refusal_reason::target_failed);
             return;
@@ -142,6 +142,7 @@
                           {{"id", admitted_.request.id},
                            {"target", target_.value()},
                            {"basis", to_text(answer.basis)},
+                           {"call", std::to_string(slot_)},
                            {"waited_ms", std::to_string(age().count())}});
     if (time_left() < least_time_to_send) {
         end_run(serving::slot_outcome::cancelled);
@@ -459,6 +460,8 @@
         {{"id", admitted_.request.id},
          {"reason", to_text(reason)},
          {"team", admitted_.team.value()},
+         {"call", std::to_string(denied_call_)},
+         {"target", target_.value()},
          {"state_version", std::to_string(admitted_.table->state().version)},
          {"retry_after_ms", retry_after ? std::to_string(retry_after->count()) : "none"},
          {"after_ms", std::to_string(age().count())}});
@@ -484,6 +487,8 @@
                                {"target", target_.value()},
                                {"status", std::to_string(result.status)},
                                {"whole", result.whole ? "yes" : "no"},
+                               {"first_byte_ms", first_byte_ ? std::to_string(first_byte_->count())
+                                                             : std::string("none")},
                                {"total_ms", std::to_string(result.duration.count())}});
     }
     on_end_(result);
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -81,6 +81,8 @@
     std::shared_ptr<http::scheduled_task> silence_watch_;
     std::uint64_t fingerprint_ = 0;
     std::uint64_t slot_ = 0;
+    /// The call that was denied, as the leader's log names it.
+    std::uint64_t denied_call_ = 0;
     bool asking_ = false;
     bool charged_ = false;
     std::vector<core::target_id> excluded_;
--- a/src/kernel/logger.cpp
+++ b/src/kernel/logger.cpp
@@ -19,6 +19,8 @@
 #include <cstdio>
 #include <ctime>
 #include <iostream>
+#include <mutex>
+#include <utility>
 
 namespace gooseberryfall::kernel {
 
@@ -128,13 +130,51 @@
     return line;
 }
 
+/// Counts the lines of the running second. Thread-safe.
+class logger::line_budget {
+public:
+    explicit line_budget(std::uint32_t limit) : limit_(limit) {}
+
+    /// Whether one more line may be written. `suppressed` is set to the lines that were cut in the
+    /// second that has just ended.
+    bool take(std::uint64_t& suppressed)
+    {
+        suppressed = 0;
+        if (limit_ == 0) {
+            return true;
+        }
+        const auto second = std::chrono::floor<std::chrono::seconds>(
+            std::chrono::steady_clock::now().time_since_epoch());
+        const std::lock_guard lock(mutex_);
+        if (second != second_) {
+            second_ = second;
+            written_ = 0;
+            suppressed = std::exchange(suppressed_, 0);
+        }
+        if (written_ < limit_) {
+            ++written_;
+            return true;
+        }
+        ++suppressed_;
+        return false;
+    }
+
+private:
+    const std::uint32_t limit_;
+    std::mutex mutex_;
+    std::chrono::seconds second_{0};
+    std::uint32_t written_ = 0;
+    std::uint64_t suppressed_ = 0;
+};
+
 struct logger::sink {
     log::sources::logger_mt source;
     boost::shared_ptr<frontend> front;
 };
 
 logger::logger(const logger_settings& settings)
-    : level_(settings.level), sink_(std::make_unique<sink>())
+    : level_(settings.level), budget_(std::make_unique<line_budget>(settings.lines_per_second)),
+      sink_(std::make_unique<sink>())
 {
     std::ostream* out = settings.out == nullptr ? &std::cerr : settings.out;
     auto back = boost::make_shared<backend>();
@@ -161,6 +201,21 @@
     if (level < level_) {
         return;
     }
+    if (level <= log_level::info) {
+        std::uint64_t suppressed = 0;
+        const bool allowed = budget_->take(suppressed);
+        if (suppressed > 0) {
+            push(log_level::warning, "lines_suppressed", {{"lines", std::to_string(suppressed)}});
+        }
+        if (!allowed) {
+            return;
+        }
+    }
+    push(level, event, fields);
+}
+
+void logger::push(log_level level, std::string_view event, const log_fields& fields)
+{
     log::record record = sink_->source.open_record();
     if (!record) {
         return;
--- a/src/kernel/logger.hpp
+++ b/src/kernel/logger.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <iosfwd>
 #include <memory>
 #include <string>
@@ -26,6 +27,9 @@
     log_level level = log_level::info;
     /// Stream that lines go to; standard error if null. Must outlive the logger.
     std::ostream* out = nullptr;
+    /// Lines of the levels debug and info in one second; those beyond are counted, and the count is
+    /// written in a line of its own. 0 means no limit.
+    std::uint32_t lines_per_second = 0;
 };
 
 /// Writes one line per event on a thread of its own, so that a slow reader of standard error never
@@ -45,8 +49,12 @@
 
 private:
     struct sink;
+    class line_budget;
+
+    void push(log_level level, std::string_view event, const log_fields& fields);
 
     log_level level_;
+    std::unique_ptr<line_budget> budget_;
     std::unique_ptr<sink> sink_;
 };
 
--- a/tests/kernel/kernel_test.cpp
+++ b/tests/kernel/kernel_test.cpp
@@ -244,3 +244,30 @@
     }
     cr_assert(ended.load());
 }
+
+// Guards against a flood of lines that costs more than the work that it tells of, and against a cut
+// that nobody notices.
+Test(logger, cuts_a_flood_and_says_so)
+{
+    std::ostringstream out;
+    {
+        kernel::logger logger({kernel::log_level::info, &out, 50});
+        for (int line = 0; line < 500; ++line) {
+            logger.write(kernel::log_level::info, "flood");
+        }
+        logger.write(kernel::log_level::warning, "important");
+        std::this_thread::sleep_for(1100ms);
+        logger.write(kernel::log_level::info, "after");
+    }
+    const std::string text = out.str();
+    int floods = 0;
+    for (std::size_t at = text.find("flood"); at != std::string::npos;
+         at = text.find("flood", at + 1)) {
+        ++floods;
+    }
+    // The lines may fall into two seconds.
+    cr_assert_leq(floods, 100);
+    cr_assert(contains(text, "event=important"));
+    cr_assert(contains(text, "event=lines_suppressed"));
+    cr_assert(contains(text, "event=after"));
+}
