--- a/src/serving/return_planner.cpp
+++ b/src/serving/return_planner.cpp
@@ -18,12 +18,11 @@
 
 } // namespace
 
-milliseconds return_planner::plan(core::time_point now, core::duration wait,
-                                  core::duration slot_interval, milliseconds patience)
+milliseconds return_planner::plan(core::time_point now, core::duration slot_interval,
+                                  milliseconds patience)
 {
+    const core::time_point earliest = now + delay_min;
     const core::time_point latest = now + std::max(patience, delay_min);
-    const core::duration least = std::max<core::duration>(delay_min, wait);
-    const core::time_point earliest = std::min(latest, now + least);
     const core::time_point planned = std::max(earliest, next_);
     if (planned <= latest) {
         next_ = planned + slot_interval * slots_per_return;
@@ -31,7 +30,7 @@
     }
     overflow_ = (overflow_ + spread_stride) % spread_steps;
     const core::duration span = latest - earliest;
-    return std::chrono::ceil<milliseconds>(earliest - now + span * overflow_ / spread_steps);
+    return std::chrono::ceil<milliseconds>(delay_min + span * overflow_ / spread_steps);
 }
 
 } // namespace gooseberryfall::serving
--- a/src/serving/return_planner.hpp
+++ b/src/serving/return_planner.hpp
@@ -10,16 +10,14 @@
 ///
 /// Load pattern: a burst of some seconds in which more requests arrive than slots become free.
 /// Without a plan all refused callers return together and meet the same full queue. The planner
-/// gives each the next moment, not before the present queue is expected to be served, at which half
-/// of the slots that become free would take it; the other half stays for newcomers. Beyond the time that a caller is ready to wait, returns are spread
+/// gives each the next moment at which half of the slots that become free would take it; the other
+/// half stays for newcomers. Beyond the time that a caller is ready to wait, returns are spread
 /// evenly over that time. Deterministic; not thread-safe.
 class return_planner {
 public:
-    /// Delay for a caller that is refused now. `wait` is the time that it would have waited for a
-    /// slot, `slot_interval` the mean time between two slots becoming free, `patience` the longest
-    /// delay that the caller honours.
-    std::chrono::milliseconds plan(core::time_point now, core::duration wait,
-                                   core::duration slot_interval,
+    /// Delay for a caller that is refused now. `slot_interval` is the mean time between two slots
+    /// becoming free, `patience` the longest delay that the caller honours.
+    std::chrono::milliseconds plan(core::time_point now, core::duration slot_interval,
                                    std::chrono::milliseconds patience);
 
 private:
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds remaining_min{20};
 /// Callers honour a delay of at most this part of the time that they have left.
 constexpr int patience_divisor = 3;
-/// Where a service has no target, one may have registered after this time.
-constexpr milliseconds no_target_wait{500};
 /// Time for a grant to reach its instance and come back in a report.
 constexpr milliseconds grant_transit{350};
 
@@ -231,13 +229,13 @@
     out.emplace_back(slot_grant{question.key, target.entry.id, target.entry.address});
 }
 
-void slot_scheduler::refuse(lane& of, const slot_question& question, core::duration wait,
-                            core::time_point now, slot_refusal_reason reason, slot_decisions& out)
+void slot_scheduler::refuse(lane& of, const slot_question& question, core::time_point now,
+                            slot_refusal_reason reason, slot_decisions& out)
 {
     const double duration = of.online_duration == 0 ? 1000.0 : of.online_duration;
     const auto slots = static_cast<double>(std::max<std::size_t>(1, usable_slots(of, now)));
     const milliseconds patience = question.until_end / patience_divisor;
-    const milliseconds delay = of.returns.plan(now, wait, from_milliseconds(duration / slots), patience);
+    const milliseconds delay = of.returns.plan(now, from_milliseconds(duration / slots), patience);
     out.emplace_back(slot_refusal{question.key, reason, delay});
 }
 
@@ -316,7 +314,7 @@
     }
     if (of.targets.empty()) {
         if (question.kind == work_kind::online) {
-            refuse(of, question, no_target_wait, now, slot_refusal_reason::no_target, out);
+            refuse(of, question, now, slot_refusal_reason::no_target, out);
         }
         return out;
     }
@@ -337,7 +335,7 @@
                                        ? question.until_objective + settings_.late_patience
                                        : question.until_objective - expected_first_event(of);
     if (wait > allowed) {
-        refuse(of, question, wait, now, slot_refusal_reason::overloaded, out);
+        refuse(of, question, now, slot_refusal_reason::overloaded, out);
         return out;
     }
     of.online.push_back(std::move(work));
@@ -494,7 +492,7 @@
         if (now + wait > last_start || now >= work.end_at) {
             slot_question asked = work.question;
             asked.until_end = std::chrono::duration_cast<milliseconds>(work.end_at - now);
-            refuse(of, asked, wait, now, slot_refusal_reason::overloaded, out);
+            refuse(of, asked, now, slot_refusal_reason::overloaded, out);
             continue;
         }
         kept.push_back(std::move(work));
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -239,7 +239,7 @@
                    slot_decisions& out);
     void grant(lane& of, target_state& target, const slot_question& question,
                core::time_point due_at, core::time_point now, slot_decisions& out);
-    void refuse(lane& of, const slot_question& question, core::duration wait, core::time_point now,
+    void refuse(lane& of, const slot_question& question, core::time_point now,
                 slot_refusal_reason reason, slot_decisions& out);
     void refuse_hopeless(const core::service_id& service, lane& of, core::time_point now,
                          slot_decisions& out);
