soak: real daemons under faults drawn from a seed

Change: gooseberryfall-soak starts daemons as processes before stand-ins, injects overlapping faults (kills, pauses, terminations, the store away for one or all, lost answers, forgotten history, engines cut, refusing and silent, new desired states) and checks what callers and engines saw.

--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,45 @@
+/// Fault soak: real daemons under faults that are drawn from a seed.
+
+#include "soak/soak_run.hpp"
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "Seed of the faults and of the callers");
+DEFINE_int32(seconds, 20, "Time in which faults are injected");
+DEFINE_int32(instances, 4, "Daemons");
+DEFINE_int32(engines, 3, "Engines");
+DEFINE_int32(callers, 6, "Callers that send requests side by side");
+DEFINE_string(daemon, "", "Program of the daemon; required");
+DEFINE_string(folder, "soak-logs", "Folder for settings and logs");
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("fault soak of the daemon on the platform\n"
+                            "  gooseberryfall-soak --daemon=PROGRAM [--seed=N] [--seconds=N]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_daemon.empty()) {
+        std::cerr << "--daemon=PROGRAM is missing; --help lists all flags" << std::endl;
+        return 2;
+    }
+    gooseberryfall::soak::soak_options options;
+    options.seed = FLAGS_seed;
+    options.length = std::chrono::seconds(FLAGS_seconds);
+    options.instances = static_cast<std::size_t>(FLAGS_instances);
+    options.engines = static_cast<std::size_t>(FLAGS_engines);
+    options.callers = static_cast<std::size_t>(FLAGS_callers);
+    options.daemon = FLAGS_daemon;
+    options.folder = FLAGS_folder + "/" + std::to_string(FLAGS_seed);
+    std::filesystem::remove_all(options.folder);
+    std::filesystem::create_directories(options.folder);
+    std::cout << "seed " << FLAGS_seed << ", logs in " << options.folder << std::endl;
+    gooseberryfall::soak::soak_run run(options);
+    const auto broken = run.run();
+    for (const std::string& sentence : broken) {
+        std::cout << "BROKEN: " << sentence << std::endl;
+    }
+    std::cout << "seed " << FLAGS_seed << ": " << broken.size() << " promises broken" << std::endl;
+    return broken.empty() ? 0 : 1;
+}
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -15,9 +15,9 @@
 constexpr double context_seconds = 3.0;
 
 constexpr std::array<std::string_view, 12> belief_events{
-    "leader_changed",    "leadership_begun", "leadership_ended", "leader_silent",
-    "instance_silent",   "store_lost",       "store_reached",    "state_taken",
-    "partition_owned",   "partition_lost",   "started",          "leaving"};
+    "leader_changed",  "leadership_begun", "leadership_ended", "leader_silent",
+    "instance_silent", "store_lost",       "store_reached",    "state_taken",
+    "partition_owned", "partition_lost",   "started",          "leaving"};
 
 bool is_belief(const std::string& event)
 {
@@ -82,12 +82,12 @@
     const auto denied = std::find_if(entries.begin(), entries.end(), [](const log_entry& entry) {
         return entry.event == "call_denied";
     });
-    const std::string load =
-        denied == entries.end()
-            ? std::string()
-            : "; " + field(*denied, "online_running") + " online and " +
-                  field(*denied, "batch_running") + " batch runs held " + field(*denied, "slots") +
-                  " slots, " + field(*denied, "online_waiting") + " requests waited";
+    const std::string load = denied == entries.end()
+                                 ? std::string()
+                                 : "; " + field(*denied, "online_running") + " online and " +
+                                       field(*denied, "batch_running") + " batch runs held " +
+                                       field(*denied, "slots") + " slots, " +
+                                       field(*denied, "online_waiting") + " requests waited";
     if (reason == "over_limit") {
         return "refused: the team " + field(refusal, "team") + " was above its rate and burst";
     }
@@ -141,8 +141,8 @@
             return refusal_cause(*entry, entries);
         }
         if (entry->event == "request_ended" && field(*entry, "whole") == "no") {
-            return "the caller left, or its connection broke, after " +
-                   field(*entry, "total_ms") + " ms";
+            return "the caller left, or its connection broke, after " + field(*entry, "total_ms") +
+                   " ms";
         }
         if (entry->event == "request_ended") {
             return answer_cause(*entry, entries);
