--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -19,8 +19,12 @@
     "instance_silent", "store_lost",       "store_reached",    "state_taken",
     "partition_owned", "partition_lost",   "started",          "leaving"};
 
-bool is_belief(const std::string& event)
+/// Owners of job partitions matter to jobs and items only.
+bool is_belief(const std::string& event, bool about_job)
 {
+    if (event.starts_with("partition_")) {
+        return about_job;
+    }
     return std::find(belief_events.begin(), belief_events.end(), event) != belief_events.end();
 }
 
@@ -192,6 +196,7 @@
     double first = 0;
     double last = 0;
     bool known = false;
+    bool about_job = false;
     for (const log_entry& entry : log) {
         if (!names(entry, id)) {
             continue;
@@ -200,6 +205,7 @@
         first = known ? std::min(first, at) : at;
         last = known ? std::max(last, at) : at;
         known = true;
+        about_job = about_job || entry.fields.contains("job");
         calls.insert(field(entry, "call"));
         targets.insert(field(entry, "target"));
     }
@@ -216,7 +222,7 @@
         const bool of_target =
             entry.event.starts_with("target_") && targets.contains(field(entry, "target"));
         const bool denial = entry.event == "call_denied" && calls.contains(field(entry, "call"));
-        if (names(entry, id) || denial || (in_time && (of_target || is_belief(entry.event)))) {
+        if (names(entry, id) || denial || (in_time && (of_target || is_belief(entry.event, about_job)))) {
             story.entries.push_back(entry);
         }
     }
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -99,6 +99,10 @@
       metrics_(std::move(metrics)), translator_(std::move(translator)), store_(std::move(durable))
 {
     const serving::fleet_member& self = settings_.self;
+    state_version_gauge_ =
+        &metrics_->add_gauge("state_version", "Version of the desired state in force");
+    store_age_gauge_ =
+        &metrics_->add_gauge("store_age_seconds", "Age of what was read from the store");
     targets_client_ = std::make_unique<http::client>(*loop_, target_client_settings(settings_));
     peers_client_ = std::make_unique<http::client>(*loop_, peer_client_settings());
     fleet_callbacks callbacks;
@@ -296,7 +300,11 @@
     if (lone || fleet_->leads()) {
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
-    fleet_->set_store_read_at(state_follower_->read_at());
+    const auto read_at = state_follower_->read_at();
+    fleet_->set_store_read_at(read_at);
+    if (read_at) {
+        store_age_gauge_->set(std::chrono::duration<double>(now - *read_at).count());
+    }
     targets_.expire(now);
     publish_targets();
 }
@@ -320,6 +328,7 @@
                     {"source", source},
                     {"routes", std::to_string(state->routes.size())},
                     {"teams", std::to_string(state->teams.size())}});
+    state_version_gauge_->set(static_cast<double>(state->version));
     fleet_->set_state(*state);
     desk_->set_state(*state);
     context_->routes = std::make_shared<const serving::route_table>(std::move(*state));
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -93,6 +93,8 @@
     std::unique_ptr<http::server> readiness_server_;
     std::unique_ptr<http::server> directory_server_;
     std::unique_ptr<http::server> internal_server_;
+    kernel::gauge* state_version_gauge_ = nullptr;
+    kernel::gauge* store_age_gauge_ = nullptr;
     serving::target_directory targets_;
     std::string state_record_;
     bool fetching_state_ = false;
