edge: a new leader resigns only for instances that have reported to it

Change: only reports received while leading count. Measured: test a_dead_leader_is_replaced_once_while_the_store_is_away fails before and passes after.

--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -123,7 +123,8 @@
     return std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
         const member_state& state = entry.second;
         const bool other = entry.first != leadership_.self().id && state.alive;
-        return other && state.store_age + (now - state.heard_at) + settings_.store_lead < own;
+        return other && state.reported_at &&
+               state.store_age + (now - *state.reported_at) + settings_.store_lead < own;
     });
 }
 
@@ -223,6 +224,7 @@
     state.ready = report.ready;
     state.leaving = report.leaving;
     state.store_age = report.store_age;
+    state.reported_at = now;
     state.partitions = report.partitions;
     state.heard_at = now;
     state.alive = true;
@@ -276,6 +278,7 @@
     for (auto& [id, state] : members_) {
         // Each has the usual time to report before it counts as silent.
         state.heard_at = now;
+        state.reported_at.reset();
     }
     logger_.write(kernel::log_level::info, "leadership_begun",
                   {{"members", std::to_string(members_.size())},
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -127,7 +127,10 @@
         bool registered = false;
         bool ready = false;
         bool leaving = false;
+        /// Age of what it has read from the store, as of `reported_at`.
         std::chrono::milliseconds store_age{0};
+        /// Its last report to this instance; unset if there was none since this one leads.
+        std::optional<core::time_point> reported_at;
         core::time_point heard_at{};
         bool alive = false;
         bool forgotten = true;
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -46,6 +46,19 @@
     return items;
 }
 
+/// Ends an instance and returns how often it has begun to lead.
+int kill_and_count_leads(edge_deployment& deployment, std::size_t instance)
+{
+    deployment.kill(instance);
+    const std::string log = deployment.log_of(instance);
+    int leads = 0;
+    for (std::size_t at = log.find("leadership_begun"); at != std::string::npos;
+         at = log.find("leadership_begun", at + 1)) {
+        ++leads;
+    }
+    return leads;
+}
+
 } // namespace
 
 // Guards against answers that are changed on their way, and against keys that reach an engine.
@@ -340,16 +353,27 @@
     cr_assert_eq(deployment.stream(0, "r1").head.status, 200U);
     int leaders = 0;
     for (std::size_t instance = 0; instance < 3; ++instance) {
-        deployment.kill(instance);
-        const std::string log = deployment.log_of(instance);
-        for (std::size_t at = log.find("leadership_begun"); at != std::string::npos;
-             at = log.find("leadership_begun", at + 1)) {
-            ++leaders;
-        }
+        leaders += kill_and_count_leads(deployment, instance);
     }
     cr_assert_eq(leaders, 1);
 }
 
+// Guards against a new leader that resigns at once for instances that it has not heard from.
+Test(edge_node, a_dead_leader_is_replaced_once_while_the_store_is_away, .timeout = 60)
+{
+    edge_deployment deployment({});
+    deployment.wait_until_serving();
+    deployment.store.set_mode_of_all(stand_ins::door_mode::busy);
+    std::this_thread::sleep_for(seconds(3));
+    // All are equally large, and the first one is the oldest.
+    const int before = kill_and_count_leads(deployment, 0);
+    cr_assert_eq(before, 1, "the first instance does not lead");
+    std::this_thread::sleep_for(seconds(5));
+    cr_assert_eq(deployment.stream(1, "r1").head.status, 200U);
+    cr_assert_eq(
+        kill_and_count_leads(deployment, 1) + kill_and_count_leads(deployment, 2), 1);
+}
+
 // Guards against a stream that is cut because its instance leaves, and against callers that are
 // still sent there.
 Test(edge_node, leaves_without_cutting_a_stream, .timeout = 60)
