serving, edge: a new leader learns what the teams have spent

Ruled out: teams above their rate; the smaller share while instances are missing. Change: instances count the requests of each team in the limits' window and report them; a new leader starts with half of what the contract tolerates above a limit and, after two reports, fills the buckets by what was spent. Where processes have just started and cannot know, no bucket is filled beyond its start. Measured: tests a_new_leader_learns_what_was_spent and what_is_known_in_part_fills_no_bucket; before, the bucket was 0.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -433,6 +433,7 @@
     own.state_version = context_->routes ? context_->routes->state().version : 0;
     own.partitions = jobs_->owned();
     own.runs = desk_->runs();
+    own.spent = desk_->spent();
     return own;
 }
 
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -11,9 +11,6 @@
 using serving::peer_message;
 using std::chrono::steady_clock;
 
-/// Part of the burst that a new leader starts with: the one before may have given out the rest.
-constexpr double new_leader_limit_level = 0.0;
-
 /// Added to the share of the limits: members that are counted but long gone must not cost the
 /// teams much of their rate.
 constexpr double limit_share_allowance = 0.05;
@@ -29,7 +26,7 @@
     : loop_(loop), logger_(logger), settings_(settings), callbacks_(std::move(callbacks)),
       socket_(loop, metrics),
       leadership_(std::move(self), settings.leadership, steady_clock::now()),
-      placement_(settings.scheduler),
+      placement_(settings.scheduler), started_at_(steady_clock::now()),
       leads_gauge_(metrics.add_gauge("fleet_leads", "1 if this instance places for all")),
       waiting_gauge_(metrics.add_gauge("fleet_requests_waiting", "Requests that wait for a slot")),
       running_gauge_(metrics.add_gauge("fleet_slots_used", "Slots in use, as the leader knows"))
@@ -225,6 +222,8 @@
     state.leaving = report.leaving;
     state.store_age = report.store_age;
     state.reported_at = now;
+    state.spent = report.spent;
+    state.spent_is_complete = report.spent_is_complete;
     state.partitions = report.partitions;
     state.heard_at = now;
     state.alive = true;
@@ -271,7 +270,8 @@
 
 void fleet_service::begin_leading(core::time_point now)
 {
-    placement_.restart(new_leader_limit_level, now);
+    placement_.restart(settings_.tolerance, now);
+    learns_until_ = now + settings_.learning_time;
     placement_.set_targets(targets_, now);
     digest_changed_ = true;
     sent_at_ = {};
@@ -285,6 +285,32 @@
                    {"targets", std::to_string(targets_.size())}});
 }
 
+void fleet_service::learn_spending(core::time_point now)
+{
+    if (!learns_until_ || now < *learns_until_) {
+        return;
+    }
+    learns_until_.reset();
+    serving::team_counts spent = callbacks_.condition().spent;
+    bool complete = now - started_at_ >= settings_.tolerance.window;
+    std::size_t heard = 1;
+    for (const auto& [id, state] : members_) {
+        if (id == leadership_.self().id || !state.reported_at) {
+            continue;
+        }
+        ++heard;
+        complete = complete && state.spent_is_complete;
+        for (const auto& [team, count] : state.spent) {
+            spent[team] += count;
+        }
+    }
+    // One that died with its counts, such as the leader before, has sent a small part of all.
+    complete = complete && heard * 2 > members_.size();
+    placement_.learn_spending(spent, complete, settings_.tolerance, now);
+    logger_.write(kernel::log_level::info, "limits_learnt",
+                  {{"instances", std::to_string(heard)}, {"complete", complete ? "yes" : "no"}});
+}
+
 void fleet_service::check_members(core::time_point now)
 {
     std::vector<core::instance_id> gone;
@@ -338,6 +364,7 @@
     const bool due = now - sent_at_ >= settings_.interval;
     if (leads) {
         check_members(now);
+        learn_spending(now);
         placement_.set_limit_share(limit_share(), now);
         deliver(placement_.tick(now));
         if (due) {
@@ -377,6 +404,9 @@
     report.state_version = own.state_version;
     report.partitions = std::move(own.partitions);
     report.runs = std::move(own.runs);
+    report.spent = std::move(own.spent);
+    report.spent_is_complete =
+        steady_clock::now() - started_at_ >= settings_.tolerance.window;
     socket_.send(to, report);
 }
 
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -32,6 +32,9 @@
     std::chrono::milliseconds store_lead{900};
     /// An instance whose reports stay away for this long has gone for good.
     std::chrono::milliseconds member_lifetime{30000};
+    /// Time in which a new leader gathers what the instances have spent of the limits: two reports.
+    std::chrono::milliseconds learning_time{450};
+    serving::limit_tolerance tolerance;
     serving::leadership_settings leadership;
     serving::scheduler_settings scheduler;
 };
@@ -43,6 +46,7 @@
     std::uint64_t state_version = 0;
     std::vector<serving::owned_partition> partitions;
     std::vector<serving::reported_run> runs;
+    serving::team_counts spent;
 };
 
 /// Callbacks of `fleet_service`, on the loop's thread.
@@ -131,6 +135,8 @@
         std::chrono::milliseconds store_age{0};
         /// Its last report to this instance; unset if there was none since this one leads.
         std::optional<core::time_point> reported_at;
+        serving::team_counts spent;
+        bool spent_is_complete = false;
         core::time_point heard_at{};
         bool alive = false;
         bool forgotten = true;
@@ -143,6 +149,7 @@
     void deliver(const std::vector<serving::addressed_message>& messages);
     void log_denial(const core::instance_id& to, const serving::peer_message& message);
     void begin_leading(core::time_point now);
+    void learn_spending(core::time_point now);
     void check_members(core::time_point now);
     void send_report(const core::instance_id& to);
     void send_digest(bool resigning, core::time_point now);
@@ -162,6 +169,9 @@
     std::vector<serving::target_entry> targets_;
     std::optional<core::time_point> store_read_at_;
     bool led_before_ = false;
+    core::time_point started_at_;
+    /// While this instance leads and has not learnt yet what was spent.
+    std::optional<core::time_point> learns_until_;
     std::optional<core::instance_id> followed_;
     core::time_point sent_at_{};
     core::time_point full_sent_at_{};
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -31,7 +31,8 @@
 
 slot_desk::slot_desk(fleet_service& fleet, kernel::logger& logger, desk_settings settings,
                      std::uint64_t first_number)
-    : fleet_(fleet), logger_(logger), settings_(settings), next_number_(first_number)
+    : fleet_(fleet), logger_(logger), settings_(settings), spent_(settings.limit_window),
+      next_number_(first_number)
 {
 }
 
@@ -147,6 +148,9 @@
     if (granted != nullptr) {
         found->second.where = stage::running;
         found->second.target = granted->target;
+        if (!found->second.call.team.empty()) {
+            spent_.record(found->second.call.team, steady_clock::now());
+        }
     }
     else {
         entries_.erase(found);
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -183,6 +183,14 @@
         runs[index].setBatch(in.runs[index].kind == serving::work_kind::batch);
         runs[index].setSilent(in.runs[index].silent);
     }
+    auto spent = out.initSpent(static_cast<unsigned>(in.spent.size()));
+    unsigned index = 0;
+    for (const auto& [team, count] : in.spent) {
+        spent[index].setTeam(team.value());
+        spent[index].setCount(count);
+        ++index;
+    }
+    out.setSpentIsComplete(in.spent_is_complete);
 }
 
 serving::instance_report read(schema::Report::Reader in)
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -74,6 +74,11 @@
   epoch @1 :UInt64;
 }
 
+struct TeamCount {
+  team @0 :Text;
+  count @1 :UInt32;
+}
+
 struct Report {
   self @0 :Member;
   ready @1 :Bool;
@@ -82,6 +87,8 @@
   partitions @4 :List(Partition);
   runs @5 :List(Run);
   storeAgeMs @6 :Int32;
+  spent @7 :List(TeamCount);
+  spentIsComplete @8 :Bool;
 }
 
 struct DigestMember {
--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -61,10 +61,10 @@
     slots_.set_targets(targets, now);
 }
 
-void fleet_placement::restart(double limit_level, core::time_point now)
+void fleet_placement::restart(const limit_tolerance& tolerance, core::time_point now)
 {
     slots_.clear_work();
-    limits_.restart(limit_level, now);
+    limits_.restart(tolerance, now);
     calls_.clear();
     call_order_.clear();
 }
--- a/src/serving/fleet_placement.hpp
+++ b/src/serving/fleet_placement.hpp
@@ -32,8 +32,15 @@
     /// Replaces the targets.
     void set_targets(const std::vector<target_entry>& targets, core::time_point now);
 
-    /// Begins to place for others with an empty memory. Limits start at a part of their burst.
-    void restart(double limit_level, core::time_point now);
+    /// Begins to place for others with an empty memory.
+    void restart(const limit_tolerance& tolerance, core::time_point now);
+
+    /// Learns what was spent before; see `team_limits::learn`.
+    void learn_spending(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
+                        core::time_point now)
+    {
+        limits_.learn(spent, complete, tolerance, now);
+    }
 
     /// Sets the part of the limits that is given out here.
     void set_limit_share(double share, core::time_point now) { limits_.set_share(share, now); }
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -2,6 +2,7 @@
 
 #include "serving/leadership.hpp"
 #include "serving/slot_scheduler.hpp"
+#include "serving/team_limits.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -85,6 +86,10 @@
     /// Job partitions that it owns.
     std::vector<owned_partition> partitions;
     std::vector<reported_run> runs;
+    /// Requests that it has sent in the last window of the limits, and whether it has run for that
+    /// long.
+    team_counts spent;
+    bool spent_is_complete = false;
 };
 
 /// An instance as the leader knows it.
--- a/src/serving/team_limits.cpp
+++ b/src/serving/team_limits.cpp
@@ -54,14 +54,37 @@
     }
 }
 
-void team_limits::restart(double level, core::time_point now)
+double team_limits::starting_level(const bucket& of, const limit_tolerance& tolerance) const
+{
+    const double seconds = std::chrono::duration<double>(tolerance.window).count();
+    const double allowed = of.limit.rate * seconds + of.limit.burst;
+    // Half, so that two changes of the leader in one window stay within it.
+    const double tolerated = (allowed * tolerance.overage + tolerance.slack) / 2;
+    return std::min(of.limit.burst, tolerated) * share_;
+}
+
+void team_limits::restart(const limit_tolerance& tolerance, core::time_point now)
 {
     for (auto& [team, entry] : buckets_) {
-        entry.level = entry.limit.burst * share_ * level;
+        entry.level = starting_level(entry, tolerance);
         entry.filled_at = now;
     }
 }
 
+void team_limits::learn(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
+                        core::time_point now)
+{
+    const double seconds = std::chrono::duration<double>(tolerance.window).count();
+    for (auto& [team, entry] : buckets_) {
+        fill(entry, now);
+        const auto found = spent.find(team);
+        const double used = found == spent.end() ? 0 : found->second;
+        const double left = (entry.limit.burst + entry.limit.rate * seconds) * share_ - used;
+        const double most = complete ? entry.limit.burst * share_ : entry.level;
+        entry.level = std::clamp(left, 0.0, most);
+    }
+}
+
 std::optional<std::chrono::milliseconds> team_limits::take(const core::team_id& team,
                                                            core::time_point now)
 {
--- a/src/serving/team_limits.hpp
+++ b/src/serving/team_limits.hpp
@@ -3,6 +3,7 @@
 #include "core/types.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -18,6 +19,18 @@
     bool operator==(const team_limit&) const = default;
 };
 
+/// What the users' contract tolerates above a limit when it is counted over several instances.
+struct limit_tolerance {
+    /// Span in which requests are counted.
+    std::chrono::milliseconds window{5000};
+    /// Part of what the limit allows in the window, and requests, that are tolerated in addition.
+    double overage = 0;
+    double slack = 0;
+};
+
+/// Requests of each team.
+using team_counts = std::map<core::team_id, std::uint32_t>;
+
 /// Token buckets of all teams at the instance that places the requests of the whole fleet.
 /// Deterministic; not thread-safe.
 class team_limits {
@@ -32,9 +45,15 @@
     /// Sets the part of each limit that this instance may give out.
     void set_share(double share, core::time_point now);
 
-    /// Empties all buckets to the given part of their burst. Called when this instance starts to
-    /// place for others, because the one before may have just given out the whole burst.
-    void restart(double level, core::time_point now);
+    /// Starts to give out limits in the place of another instance, which may have just given out
+    /// the whole burst: until it is known what was spent, each bucket holds half of what is
+    /// tolerated above the limit.
+    void restart(const limit_tolerance& tolerance, core::time_point now);
+
+    /// Fills the buckets by what was spent in the last window. `complete`: nothing else was.
+    /// Otherwise no bucket is filled beyond its level at the start.
+    void learn(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
+               core::time_point now);
 
     /// Takes one request out of a team's bucket, or returns the time until there is one.
     std::optional<std::chrono::milliseconds> take(const core::team_id& team, core::time_point now);
@@ -50,6 +69,7 @@
     };
 
     void fill(bucket& from, core::time_point now) const;
+    double starting_level(const bucket& of, const limit_tolerance& tolerance) const;
 
     double share_;
     std::map<core::team_id, bucket> buckets_;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -42,6 +42,9 @@
 
 [bounds]
 state_in_force_ms = 2000
+limit_window_s = 5
+limit_overage = 0.1
+limit_slack = 20
 directory_lifetime_max_s = 5
 leave_s = 8
 )";
@@ -235,11 +238,13 @@
     cr_assert(settings->edge.self.name == "edge-1");
     cr_assert(settings->edge.state_interval < milliseconds(1000));
     cr_assert(settings->edge.leave_max < seconds(8));
+    cr_assert(settings->edge.fleet.tolerance.window == seconds(5));
+    cr_assert_eq(settings->edge.fleet.tolerance.slack, 20);
     cr_assert(settings->edge.directory_lifetime <= seconds(5));
     cr_assert(first_problem("capacity = 0.5", "capacity = \"x\"") ==
               "edge.toml:4: instance.capacity: a number from 0.001 to 1024 is expected");
     cr_assert(first_problem("leave_s = 8", "leave_s = 8\nodd = 1") ==
-              "edge.toml:23: bounds.odd: is not a known setting");
+              "edge.toml:26: bounds.odd: is not a known setting");
     cr_assert(first_problem("address = \"127.0.0.1:5\"", "") ==
               "edge.toml: store.address: is missing");
 }
--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -39,11 +39,54 @@
 {
     serving::team_limits limits;
     limits.set({{team, {10, 20}}}, start);
-    limits.restart(0.0, start);
+    limits.restart({}, start);
     const int count = taken(limits, start, seconds(5), 200);
     cr_assert_leq(count, 50);
 }
 
+// Guards against teams within their rate that are refused because the leader has just changed.
+Test(team_limits, a_new_leader_learns_what_was_spent)
+{
+    const serving::limit_tolerance tolerance{seconds(5), 0.1, 20};
+    serving::team_limits limits;
+    const core::team_id flooding("flood");
+    limits.set({{team, {40, 40}}, {flooding, {40, 40}}}, start);
+    limits.restart(tolerance, start);
+    // Half of 0.1 * 240 + 20, without knowing anything.
+    cr_assert_eq(taken(limits, start, seconds(1), 1000), 22 + 39);
+    limits.restart(tolerance, start);
+    limits.learn({{team, 125}, {flooding, 240}}, true, tolerance, start);
+    cr_assert_eq(taken(limits, start, seconds(1), 1000), 40 + 39);
+    int flood = 0;
+    for (core::time_point now = start; now < start + seconds(1); now += milliseconds(1)) {
+        flood += limits.take(flooding, now) ? 0 : 1;
+    }
+    cr_assert_leq(flood, 40, "it has spent its burst");
+}
+
+// Guards against a whole burst on top of one that nobody knows of any more.
+Test(team_limits, what_is_known_in_part_fills_no_bucket)
+{
+    const serving::limit_tolerance tolerance{seconds(5), 0.1, 20};
+    serving::team_limits limits;
+    limits.set({{team, {40, 40}}}, start);
+    limits.restart(tolerance, start);
+    limits.learn({}, false, tolerance, start);
+    cr_assert_eq(taken(limits, start, seconds(1), 1000),
+                 22 + 39);
+}
+
+// Guards against requests that count longer than the window.
+Test(spend_window, counts_the_last_window)
+{
+    serving::spend_window window(seconds(5));
+    window.record(team, start);
+    window.record(team, start + seconds(3));
+    cr_assert_eq(window.counts(start + seconds(4)).at(team), 2U);
+    cr_assert_eq(window.counts(start + seconds(6)).at(team), 1U);
+    cr_assert(window.counts(start + seconds(9)).empty());
+}
+
 // Guards against limits that two halves of a divided fleet give out in full.
 Test(team_limits, a_share_scales_rate_and_burst)
 {
