soak: read results after the last submission has ended

Ruled out: lost jobs (their items were finished in the logs, or the run ended at once). Change: the submitting thread is joined before the check. Conclusion: a fault of the harness.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -384,10 +384,12 @@
     for (std::size_t caller = 0; caller < options_.callers; ++caller) {
         threads.emplace_back([this, caller] { call_all_day(caller); });
     }
-    threads.emplace_back([this] { submit_all_day(); });
+    std::thread submissions([this] { submit_all_day(); });
     inject_faults();
     heal();
     note("faults end");
+    // The last job may be accepted after the last fault.
+    submissions.join();
     std::vector<std::string> broken = check_recovery();
     ends_ = true;
     for (std::thread& thread : threads) {
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -222,7 +222,8 @@
         const bool of_target =
             entry.event.starts_with("target_") && targets.contains(field(entry, "target"));
         const bool denial = entry.event == "call_denied" && calls.contains(field(entry, "call"));
-        if (names(entry, id) || denial || (in_time && (of_target || is_belief(entry.event, about_job)))) {
+        if (names(entry, id) || denial ||
+            (in_time && (of_target || is_belief(entry.event, about_job)))) {
             story.entries.push_back(entry);
         }
     }
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -405,8 +405,7 @@
     report.partitions = std::move(own.partitions);
     report.runs = std::move(own.runs);
     report.spent = std::move(own.spent);
-    report.spent_is_complete =
-        steady_clock::now() - started_at_ >= settings_.tolerance.window;
+    report.spent_is_complete = steady_clock::now() - started_at_ >= settings_.tolerance.window;
     socket_.send(to, report);
 }
 
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -370,8 +370,7 @@
     cr_assert_eq(before, 1, "the first instance does not lead");
     std::this_thread::sleep_for(seconds(5));
     cr_assert_eq(deployment.stream(1, "r1").head.status, 200U);
-    cr_assert_eq(
-        kill_and_count_leads(deployment, 1) + kill_and_count_leads(deployment, 2), 1);
+    cr_assert_eq(kill_and_count_leads(deployment, 1) + kill_and_count_leads(deployment, 2), 1);
 }
 
 // Guards against a stream that is cut because its instance leaves, and against callers that are
--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -72,8 +72,7 @@
     limits.set({{team, {40, 40}}}, start);
     limits.restart(tolerance, start);
     limits.learn({}, false, tolerance, start);
-    cr_assert_eq(taken(limits, start, seconds(1), 1000),
-                 22 + 39);
+    cr_assert_eq(taken(limits, start, seconds(1), 1000), 22 + 39);
 }
 
 // Guards against requests that count longer than the window.
