--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -1,5 +1,7 @@
 #include "soak/history.hpp"
 
+#include <utility>
+
 namespace gooseberryfall::soak {
 
 namespace {
@@ -42,8 +44,10 @@
         const std::size_t position = first + index;
         const auto [known, added] = seen.positions.try_emplace(position, item);
         if (!added && known->second != item) {
-            broken_.push_back("job " + job + ": position " + std::to_string(position) + " held " +
-                              known->second + " and then " + item);
+            std::string sentence = "job " + job + ": position " + std::to_string(position);
+            sentence += " held " + known->second;
+            sentence += " and then " + item;
+            broken_.push_back(std::move(sentence));
         }
         const auto [text, is_new] = seen.outputs.try_emplace(item, output);
         if (!is_new && text->second != output) {
--- a/src/cli/command_table.cpp
+++ b/src/cli/command_table.cpp
@@ -139,12 +139,13 @@
                   "The instance that is asked finishes its requests and leaves, as after SIGTERM.\n"
                   "--instance must name exactly one.",
                   "gooseberryfall drain --instance 10.0.0.1:7300"),
-        described(local(command_id::explain, "explain", "FILE ID", 2),
-                  "Tells from logs what became of a request, job or item.",
-                  "Reads the lines of one or several instances from FILE (- for standard input) and\n"
-                  "prints those that concern ID in order of time, with the changes of what the\n"
-                  "instances believed meanwhile, and the cause. Talks to no instance.",
-                  "cat logs/*.log | gooseberryfall explain - 9c41d07be2a35f68"),
+        described(
+            local(command_id::explain, "explain", "FILE ID", 2),
+            "Tells from logs what became of a request, job or item.",
+            "Reads the lines of one or several instances from FILE (- for standard input) and\n"
+            "prints those that concern ID in order of time, with the changes of what the\n"
+            "instances believed meanwhile, and the cause. Talks to no instance.",
+            "cat logs/*.log | gooseberryfall explain - 9c41d07be2a35f68"),
         described(local(command_id::help, "help", "[COMMAND]", 0), "Explains a command.",
                   "Without COMMAND lists all commands, flags and exit statuses.",
                   "gooseberryfall help key issue"),
