serving, edge: drop parameters and fields that nothing uses

Cause: reading the diff as a newcomer: times that were ignored, a free-slot count that was always 0, an unused data centre of the directory's question. Change: removed; a comment that named a parameter which does not exist is corrected. Measured: tests of serving, fleet_wire, adapter and edge pass (22 of edge). Conclusion: no change of behaviour.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -152,8 +152,8 @@
             [this](const std::map<std::string, std::string>& all) { take_all_targets(all); },
             [this](const std::string& key, const std::string& value) { take_target(key, value); },
             [this](bool reachable) {
-                const core::time_point now = steady_clock::now();
-                reachable ? targets_.registry_regained(now) : targets_.registry_lost(now);
+                reachable ? targets_.registry_regained(steady_clock::now())
+                          : targets_.registry_lost();
             }});
     registry_ = std::make_unique<member_registry>(
         *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
@@ -453,8 +453,7 @@
 void edge_node::handle_directory(const http::request& received,
                                  const std::shared_ptr<http::responder>& caller)
 {
-    const auto question = translator_->decode_directory(received);
-    if (!question) {
+    if (!translator_->is_directory_question(received)) {
         caller->send({404, {}, {}});
         return;
     }
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -58,7 +58,7 @@
     }
     digest_changed_ = digest_changed_ || targets != targets_;
     targets_ = targets;
-    placement_.set_targets(targets_, steady_clock::now());
+    placement_.set_targets(targets_);
 }
 
 void fleet_service::set_members(const std::vector<serving::fleet_member>& members)
@@ -261,18 +261,15 @@
         state.heard_at = now;
         state.alive = true;
     }
-    targets_.clear();
-    for (const serving::digest_target& entry : digest.targets) {
-        targets_.push_back(entry.entry);
-    }
-    placement_.set_targets(targets_, now);
+    targets_ = digest.targets;
+    placement_.set_targets(targets_);
 }
 
 void fleet_service::begin_leading(core::time_point now)
 {
     placement_.restart(settings_.tolerance, now);
     learns_until_ = now + settings_.learning_time;
-    placement_.set_targets(targets_, now);
+    placement_.set_targets(targets_);
     digest_changed_ = true;
     sent_at_ = {};
     for (auto& [id, state] : members_) {
@@ -423,9 +420,7 @@
                 {state.member, state.ready && !state.leaving, state.partitions});
         }
     }
-    for (const serving::target_entry& target : targets_) {
-        digest.targets.push_back({target, 0});
-    }
+    digest.targets = targets_;
     return digest;
 }
 
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -393,10 +393,10 @@
     if (std::find(excluded_.begin(), excluded_.end(), target_) == excluded_.end()) {
         excluded_.push_back(target_);
     }
-    retry(reason);
+    retry();
 }
 
-void online_exchange::retry(const std::string& reason)
+void online_exchange::retry()
 {
     // A stream that was passed on raw cannot go on elsewhere.
     const bool open = stage_ == answer_stage::none || may_repeat();
@@ -405,7 +405,6 @@
         ask_for_slot();
         return;
     }
-    (void)reason;
     if (!may_have_run_) {
         refuse(refusal_reason::overloaded, milliseconds(200));
         return;
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -58,7 +58,7 @@
     void on_whole_answer();
     void on_failure(serving::slot_outcome outcome, const std::string& reason, bool may_have_run);
     void end_run(serving::slot_outcome outcome);
-    void retry(const std::string& reason);
+    void retry();
     void start_streaming();
     http::flow pass_on(std::string bytes);
     void write_held();
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -138,11 +138,6 @@
     bool authentic = false;
 };
 
-/// Question for the addresses to connect to.
-struct directory_question {
-    std::string data_centre;
-};
-
 /// Translates between the callers' and targets' protocol and this product. Implemented by the
 /// adapter; every method is thread-safe.
 class protocol {
@@ -195,9 +190,8 @@
     /// Tokens that a batch item is expected to generate.
     virtual std::uint32_t tokens_of(const serving::job_item& item) const = 0;
 
-    /// Question for addresses, or nothing if the request is another call.
-    virtual std::optional<directory_question>
-    decode_directory(const http::request& received) const = 0;
+    /// Whether the request asks for the addresses to connect to.
+    virtual bool is_directory_question(const http::request& received) const = 0;
 
     /// Encodes the addresses that callers may use for some time.
     virtual http::response encode_directory(const std::vector<std::string>& addresses,
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -84,7 +84,7 @@
         target.slots = std::max(1U, static_cast<std::uint32_t>(share));
     }
     local_.set_limit_share(1.0 / members, now);
-    local_.set_targets(targets, now);
+    local_.set_targets(targets);
     of.call.question.until_objective = until(of.objective_at, now);
     of.call.question.until_end = until(of.end_at, now);
     handle_local(local_.on_call(of.call, now));
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -210,27 +210,25 @@
     return out;
 }
 
-void write(schema::Target::Builder out, const serving::digest_target& in)
+void write(schema::Target::Builder out, const serving::target_entry& in)
 {
-    out.setId(in.entry.id.value());
-    out.setService(in.entry.service.value());
-    out.setAddress(in.entry.address);
-    out.setDataCentre(in.entry.data_centre.value());
-    out.setSlots(in.entry.slots);
-    out.setStartedAt(in.entry.started_at);
-    out.setFreeSlots(in.free_slots);
+    out.setId(in.id.value());
+    out.setService(in.service.value());
+    out.setAddress(in.address);
+    out.setDataCentre(in.data_centre.value());
+    out.setSlots(in.slots);
+    out.setStartedAt(in.started_at);
 }
 
-serving::digest_target read(schema::Target::Reader in)
+serving::target_entry read(schema::Target::Reader in)
 {
-    serving::digest_target out;
-    out.entry.id = core::target_id(text(in.getId()));
-    out.entry.service = core::service_id(text(in.getService()));
-    out.entry.address = text(in.getAddress());
-    out.entry.data_centre = core::data_centre_id(text(in.getDataCentre()));
-    out.entry.slots = in.getSlots();
-    out.entry.started_at = in.getStartedAt();
-    out.free_slots = in.getFreeSlots();
+    serving::target_entry out;
+    out.id = core::target_id(text(in.getId()));
+    out.service = core::service_id(text(in.getService()));
+    out.address = text(in.getAddress());
+    out.data_centre = core::data_centre_id(text(in.getDataCentre()));
+    out.slots = in.getSlots();
+    out.started_at = in.getStartedAt();
     return out;
 }
 
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -21,7 +21,6 @@
   dataCentre @3 :Text;
   slots @4 :UInt32;
   startedAt @5 :Int64;
-  freeSlots @6 :UInt32;
 }
 
 struct SlotCall {
--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -56,9 +56,9 @@
     limits_.set(limits, now);
 }
 
-void fleet_placement::set_targets(const std::vector<target_entry>& targets, core::time_point now)
+void fleet_placement::set_targets(const std::vector<target_entry>& targets)
 {
-    slots_.set_targets(targets, now);
+    slots_.set_targets(targets);
 }
 
 void fleet_placement::restart(const limit_tolerance& tolerance, core::time_point now)
--- a/src/serving/fleet_placement.hpp
+++ b/src/serving/fleet_placement.hpp
@@ -30,7 +30,7 @@
     void set_state(const desired_state& state, core::time_point now);
 
     /// Replaces the targets.
-    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+    void set_targets(const std::vector<target_entry>& targets);
 
     /// Begins to place for others with an empty memory.
     void restart(const limit_tolerance& tolerance, core::time_point now);
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -99,12 +99,6 @@
     std::vector<owned_partition> partitions;
 };
 
-/// A target as the leader knows it.
-struct digest_target {
-    target_entry entry;
-    std::uint32_t free_slots = 0;
-};
-
 /// State of the fleet, sent by the leader to all instances.
 struct fleet_digest {
     fleet_member leader;
@@ -112,7 +106,7 @@
     bool resigning = false;
     std::uint64_t state_version = 0;
     std::vector<digest_member> members;
-    std::vector<digest_target> targets;
+    std::vector<target_entry> targets;
 };
 
 using peer_message = std::variant<slot_call, slot_reply, slot_waiting, slot_end, yield_order,
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -43,9 +43,8 @@
 
 } // namespace
 
-void slot_scheduler::set_targets(const std::vector<target_entry>& targets, core::time_point now)
+void slot_scheduler::set_targets(const std::vector<target_entry>& targets)
 {
-    (void)now;
     std::map<core::service_id, std::set<core::target_id>> present;
     for (const target_entry& entry : targets) {
         present[entry.service].insert(entry.id);
@@ -129,17 +128,6 @@
     return slots > target.running ? slots - target.running : 0;
 }
 
-std::uint32_t slot_scheduler::free_slots(const core::target_id& id, core::time_point now) const
-{
-    for (const auto& [service, of] : lanes_) {
-        const auto found = of.targets.find(id);
-        if (found != of.targets.end()) {
-            return free_slots(of, found->second, now);
-        }
-    }
-    return 0;
-}
-
 std::size_t slot_scheduler::usable_slots(const lane& of, core::time_point now) const
 {
     std::size_t total = 0;
@@ -205,10 +193,9 @@
     return victim;
 }
 
-void slot_scheduler::grant(lane& of, target_state& target, const slot_question& question,
+void slot_scheduler::grant(target_state& target, const slot_question& question,
                            core::time_point due_at, core::time_point now, slot_decisions& out)
 {
-    (void)of;
     run entry;
     entry.target = target.entry.id;
     entry.service = question.service;
@@ -244,7 +231,7 @@
 {
     const core::time_point end_at = now + question.until_end;
     if (target_state* target = choose_target(of, question, now)) {
-        grant(of, *target, question, end_at, now, out);
+        grant(*target, question, end_at, now, out);
         return true;
     }
     if (question.kind != work_kind::online) {
@@ -259,7 +246,7 @@
     target_state& target = of.targets.at(yielded.target);
     --target.running;
     out.emplace_back(slot_yield{*victim});
-    grant(of, target, question, end_at, now, out);
+    grant(target, question, end_at, now, out);
     return true;
 }
 
@@ -321,7 +308,7 @@
     waiting_work work{question, now, now + question.until_objective, now + question.until_end};
     if (question.kind == work_kind::batch) {
         queue.push_back(std::move(work));
-        fill(question.service, of, now, out);
+        fill(of, now, out);
         return out;
     }
     // Whoever waits already has the better claim to a free slot, but for a request that may go on
@@ -379,7 +366,7 @@
     }
     const auto target = of.targets.find(entry.target);
     if (target != of.targets.end()) {
-        target->second.health.record_speed(*ended.first_event, rest, entry.tokens);
+        target->second.health.record_speed(rest, entry.tokens);
     }
 }
 
@@ -399,7 +386,7 @@
         target->second.health.record(ended.outcome, now);
     }
     release(found);
-    fill(entry.service, of, now, out);
+    fill(of, now, out);
     return out;
 }
 
@@ -448,7 +435,7 @@
         }
     }
     for (const core::service_id& service : freed) {
-        fill(service, lane_of(service), now, out);
+        fill(lane_of(service), now, out);
     }
     return out;
 }
@@ -467,7 +454,7 @@
         };
         std::erase_if(of.online, of_instance);
         std::erase_if(of.batch, of_instance);
-        fill(service, of, now, out);
+        fill(of, now, out);
     }
     return out;
 }
@@ -543,10 +530,8 @@
     return best;
 }
 
-void slot_scheduler::fill(const core::service_id& service, lane& of, core::time_point now,
-                          slot_decisions& out)
+void slot_scheduler::fill(lane& of, core::time_point now, slot_decisions& out)
 {
-    (void)service;
     const auto place_online = [&](waiting_work* work) {
         if (work == nullptr) {
             return false;
@@ -570,7 +555,7 @@
             return false;
         }
         const run_key key = work->question.key;
-        grant(of, *target, work->question, work->end_at, now, out);
+        grant(*target, work->question, work->end_at, now, out);
         std::erase_if(of.batch,
                       [&key](const waiting_work& entry) { return entry.question.key == key; });
         return true;
@@ -601,7 +586,7 @@
         release(runs_.find(key));
     }
     for (auto& [service, of] : lanes_) {
-        fill(service, of, now, out);
+        fill(of, now, out);
         refuse_hopeless(service, of, now, out);
     }
     return out;
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -150,7 +150,7 @@
     explicit slot_scheduler(scheduler_settings settings = {}) : settings_(settings) {}
 
     /// Replaces the targets that may be used. Runs at others go on.
-    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+    void set_targets(const std::vector<target_entry>& targets);
 
     /// Asks for a slot. A repeated question gets the same grant again.
     slot_decisions ask(const slot_question& question, core::time_point now);
@@ -162,7 +162,7 @@
     slot_decisions give_back(const slot_return& ended, core::time_point now);
 
     /// All runs that an instance has under way. Unknown ones are learnt; known ones that are
-    /// missing have ended. `sent_before` excuses grants that were still on their way.
+    /// missing have ended, unless their grant is so young that it may still be on its way.
     slot_decisions reconcile(const core::instance_id& instance,
                              const std::vector<reported_run>& runs, core::time_point now);
 
@@ -180,9 +180,6 @@
 
     scheduler_state state() const;
 
-    /// Free slots of a target now, for others that place without this scheduler.
-    std::uint32_t free_slots(const core::target_id& id, core::time_point now) const;
-
 private:
     struct target_state {
         target_entry entry;
@@ -237,13 +234,13 @@
                                   std::size_t ahead, core::time_point now) const;
     bool try_place(lane& of, const slot_question& question, core::time_point now,
                    slot_decisions& out);
-    void grant(lane& of, target_state& target, const slot_question& question,
-               core::time_point due_at, core::time_point now, slot_decisions& out);
+    void grant(target_state& target, const slot_question& question, core::time_point due_at,
+               core::time_point now, slot_decisions& out);
     void refuse(lane& of, const slot_question& question, core::time_point now,
                 slot_refusal_reason reason, slot_decisions& out);
     void refuse_hopeless(const core::service_id& service, lane& of, core::time_point now,
                          slot_decisions& out);
-    void fill(const core::service_id& service, lane& of, core::time_point now, slot_decisions& out);
+    void fill(lane& of, core::time_point now, slot_decisions& out);
     waiting_work* next_online(lane& of, core::time_point now, bool late);
     waiting_work* next_batch(lane& of, core::time_point now, bool urgent_only);
     void release(std::map<run_key, run>::iterator position);
--- a/src/serving/target_directory.cpp
+++ b/src/serving/target_directory.cpp
@@ -52,9 +52,8 @@
     }
 }
 
-void target_directory::registry_lost(core::time_point now)
+void target_directory::registry_lost()
 {
-    (void)now;
     lost_ = true;
 }
 
--- a/src/serving/target_directory.hpp
+++ b/src/serving/target_directory.hpp
@@ -42,7 +42,7 @@
     void replace_all(const std::vector<target_entry>& entries, core::time_point now);
 
     /// The registry did not answer.
-    void registry_lost(core::time_point now);
+    void registry_lost();
 
     /// The registry answers again.
     void registry_regained(core::time_point now);
--- a/src/serving/target_health.cpp
+++ b/src/serving/target_health.cpp
@@ -79,14 +79,12 @@
     pause(now);
 }
 
-void target_health::record_speed(std::chrono::milliseconds first_event,
-                                 std::chrono::milliseconds rest, std::uint32_t tokens)
+void target_health::record_speed(std::chrono::milliseconds generating, std::uint32_t tokens)
 {
-    (void)first_event;
-    if (tokens == 0 || rest.count() <= 0) {
+    if (tokens == 0 || generating.count() <= 0) {
         return;
     }
-    const double sample = static_cast<double>(rest.count()) / tokens;
+    const double sample = static_cast<double>(generating.count()) / tokens;
     token_time_ = token_time_ == 0
                       ? sample
                       : token_time_ * settings_.memory + sample * (1 - settings_.memory);
--- a/src/serving/target_health.hpp
+++ b/src/serving/target_health.hpp
@@ -53,10 +53,8 @@
     /// A use of the target gives no byte while it lasts.
     void record_silence(core::time_point now);
 
-    /// Time from the sending to the first event, and from there to the end, of a whole answer of
-    /// about `tokens` tokens.
-    void record_speed(std::chrono::milliseconds first_event, std::chrono::milliseconds rest,
-                      std::uint32_t tokens);
+    /// Time from the first event to the end of a whole answer of about `tokens` tokens.
+    void record_speed(std::chrono::milliseconds generating, std::uint32_t tokens);
 
     /// Whether new work may be sent now.
     bool available(core::time_point now) const { return now >= paused_until_; }
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -72,10 +72,10 @@
     serving::target_entry target;
     target.id = core::target_id("t");
     target.address = "a:1";
-    digest.targets.push_back({target, 0});
+    digest.targets.push_back(target);
     const auto fleet = round_trip(digest);
     cr_assert_eq(fleet.members.front().partitions.front().epoch, 11U);
-    cr_assert(fleet.targets.front().entry.address == "a:1");
+    cr_assert(fleet.targets.front().address == "a:1");
 
     serving::instance_report report;
     report.store_age = milliseconds(70);
--- a/tests/serving/load_replay_test.cpp
+++ b/tests/serving/load_replay_test.cpp
@@ -98,7 +98,7 @@
             entry.slots = 8;
             entries.push_back(entry);
         }
-        scheduler_.set_targets(entries, start);
+        scheduler_.set_targets(entries);
     }
 
     tally run(seconds length)
--- a/tests/serving/serving_parts_test.cpp
+++ b/tests/serving/serving_parts_test.cpp
@@ -62,7 +62,7 @@
     serving::target_directory directory;
     directory.update(target("a"));
     directory.update(target("b"));
-    directory.registry_lost(start);
+    directory.registry_lost();
     directory.registry_regained(start + seconds(5));
     directory.replace_all({target("b")}, start + seconds(5));
     cr_assert_eq(directory.usable().size(), 2U);
@@ -81,7 +81,7 @@
     entry.draining = true;
     directory.update(entry);
     cr_assert(directory.usable().empty());
-    directory.registry_lost(start);
+    directory.registry_lost();
     directory.remove(core::target_id("a"), start);
     cr_assert_eq(directory.size(), 0U, "it announced its end, so no outage explains its absence");
 }
--- a/tests/serving/slot_scheduler_test.cpp
+++ b/tests/serving/slot_scheduler_test.cpp
@@ -93,7 +93,7 @@
 Test(slot_scheduler, repeats_the_grant_of_a_repeated_question)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1"), target("2")}, start);
+    scheduler.set_targets({target("1"), target("2")});
     const auto first = grants(scheduler.ask(online(1), start));
     const auto again = grants(scheduler.ask(online(1), start + milliseconds(40)));
     cr_assert_eq(first.size(), 1U);
@@ -107,7 +107,7 @@
 Test(slot_scheduler, online_takes_the_slot_of_the_batch_run_with_the_most_left)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1"), target("2")}, start);
+    scheduler.set_targets({target("1"), target("2")});
     serving::slot_question nearly_done = batch(1, seconds(18));
     nearly_done.tokens = 100;
     scheduler.ask(nearly_done, start);
@@ -123,7 +123,7 @@
 Test(slot_scheduler, batch_near_its_due_time_keeps_its_slot)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     // About 4 s of work and 5 s to go.
     scheduler.ask(batch(1, seconds(5)), start);
     const auto decisions = scheduler.ask(online(2), start);
@@ -135,7 +135,7 @@
 Test(slot_scheduler, urgent_batch_goes_before_waiting_online)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.ask(online(1), start);
     // About 4 s of work: half a second of slack when the slot becomes free.
     cr_assert(grants(scheduler.ask(batch(2, milliseconds(5500)), start)).empty());
@@ -151,7 +151,7 @@
 Test(slot_scheduler, refuses_at_arrival_what_cannot_be_on_time)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.ask(online(1), start);
     const auto refused = refusals(scheduler.ask(online(2), start));
     cr_assert_eq(refused.size(), 1U);
@@ -164,7 +164,7 @@
 Test(slot_scheduler, a_returning_request_goes_before_newcomers)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.ask(online(1), start);
     const core::time_point later = start + milliseconds(700);
     cr_assert(refusals(scheduler.ask(online(2), later)).empty());
@@ -180,7 +180,7 @@
 Test(slot_scheduler, frees_slots_that_are_not_reported)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.ask(online(1), start);
     const core::time_point soon = start + milliseconds(100);
     scheduler.reconcile(core::instance_id("a"), {}, soon);
@@ -194,7 +194,7 @@
 Test(slot_scheduler, learns_runs_from_reports)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.reconcile(core::instance_id("b"),
                         {{7, core::target_id("1"), work_kind::online, false}}, start);
     cr_assert(grants(scheduler.ask(online(1), start)).empty());
@@ -204,7 +204,7 @@
 Test(slot_scheduler, leaves_a_target_alone_that_cannot_be_reached)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1", 4), target("2", 4)}, start);
+    scheduler.set_targets({target("1", 4), target("2", 4)});
     const auto first = grants(scheduler.ask(online(1), start));
     scheduler.give_back(ended(1, serving::slot_outcome::unreachable), start);
     for (std::uint64_t number = 2; number < 6; ++number) {
@@ -218,7 +218,7 @@
 Test(slot_scheduler, sets_aside_only_a_part_of_the_targets_for_failures)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1", 8), target("2", 8), target("3", 8)}, start);
+    scheduler.set_targets({target("1", 8), target("2", 8), target("3", 8)});
     core::time_point now = start;
     for (std::uint64_t number = 1; number < 60; ++number) {
         now += milliseconds(50);
@@ -233,12 +233,12 @@
 Test(slot_scheduler, a_restarted_target_starts_anew)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({target("1")}, start);
+    scheduler.set_targets({target("1")});
     scheduler.ask(online(1), start);
     scheduler.give_back(ended(1, serving::slot_outcome::silent), start);
     cr_assert(grants(scheduler.ask(online(2), start)).empty());
     serving::target_entry restarted = target("1");
     restarted.started_at = 5;
-    scheduler.set_targets({restarted}, start);
+    scheduler.set_targets({restarted});
     cr_assert_eq(grants(scheduler.ask(online(3), start)).size(), 1U);
 }
