--- a/stand_ins/log_store.cpp
+++ b/stand_ins/log_store.cpp
@@ -112,6 +112,12 @@
     }
 }
 
+std::set<std::string> log_store::writer_names() const
+{
+    const std::lock_guard lock(mutex_);
+    return state_.writer_names();
+}
+
 void log_store::forget_history()
 {
     const std::lock_guard lock(mutex_);
--- a/stand_ins/log_store.hpp
+++ b/stand_ins/log_store.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
     /// Writes a value of a key, as the operator and the targets do; an empty one drops the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Names of the writers that have set an epoch.
+    std::set<std::string> writer_names() const;
+
     /// Calls served so far.
     std::size_t calls() const { return calls_; }
 
--- a/stand_ins/log_store_state.cpp
+++ b/stand_ins/log_store_state.cpp
@@ -88,6 +88,17 @@
     return found == places_.end() ? 0 : found->second.first + found->second.records.size();
 }
 
+std::set<std::string> log_store_state::writer_names() const
+{
+    std::set<std::string> names;
+    for (const auto& [where, at] : places_) {
+        for (const auto& [name, writer] : at.writers) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
 void log_store_state::forget_history()
 {
     for (auto& [where, at] : places_) {
--- a/stand_ins/log_store_state.hpp
+++ b/stand_ins/log_store_state.hpp
@@ -54,6 +54,9 @@
 
     std::uint64_t end(const place& where) const;
 
+    /// Names of the writers that have set an epoch anywhere.
+    std::set<std::string> writer_names() const;
+
     /// Drops the history of all partitions; the newest record of each key stays.
     void forget_history();
 
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -262,6 +262,20 @@
     }
 }
 
+// Guards against an owner that goes on writing after it was replaced: the store compares the epochs
+// of one writer name only, so all owners have to write under the same.
+Test(edge_node, all_owners_write_under_one_name, .timeout = 60)
+{
+    edge_deployment deployment({});
+    deployment.wait_until_serving();
+    for (std::size_t dead = 0; dead < 2; ++dead) {
+        deployment.kill(dead);
+        const std::string job = "job-" + std::to_string(dead);
+        cr_assert(eventually([&] { return deployment.submit(2, job, 1) == 202; }));
+    }
+    cr_assert_eq(deployment.store.writer_names().size(), 1U);
+}
+
 // Guards against a withdrawn key that goes on working at an instance which the store turns away.
 Test(edge_node, a_desired_state_reaches_instances_without_the_store, .timeout = 60)
 {
