tests: let the replaced owner's test fail without its mechanism

Cause: with the owner's epoch ignored an_owner_without_the_store_is_replaced passed all the same: its jobs were accepted by the new owner only. Change: jobs are accepted before the owner is shut out, and their items last longer than the takeover. Measured: without the epochs it fails (an instance lacks results), with them it passes.

--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -241,15 +241,17 @@
 // unnoticed, because the store turns it away.
 Test(edge_node, an_owner_without_the_store_is_replaced, .timeout = 90)
 {
-    edge_deployment deployment({});
+    // Items last longer than the takeover, so that the results come from the new owner alone.
+    edge_deployment deployment({.event_gap = milliseconds(250)});
     deployment.wait_until_serving();
     for (std::size_t shut_out = 0; shut_out < 3; ++shut_out) {
-        deployment.store.set_mode(shut_out, stand_ins::door_mode::busy);
         const std::string job = "job-" + std::to_string(shut_out);
         const std::size_t other = (shut_out + 1) % 3;
         cr_assert(eventually([&] { return deployment.submit(other, job, 3) == 202; }));
+        deployment.store.set_mode(shut_out, stand_ins::door_mode::busy);
         const std::string body = deployment.all_results(other, job, 3);
-        cr_assert_eq(result_count(body), 3U);
+        cr_assert_eq(result_count(body), 3U, "shut out %zu: %zu results", shut_out,
+                     result_count(body));
         // What one instance has shown, no other may lack a second later.
         std::this_thread::sleep_for(seconds(1));
         for (std::size_t instance = 0; instance < 3; ++instance) {
