tests: run the instances' tests alone

Cause: the tests' instances need processors in time; beside other programs' tests they could wait. Change: RUN_SERIAL for edge_edge_node_test.

--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -1,7 +1,7 @@
 #include "edge/edge_deployment.hpp"
 #include "platform/names.hpp"
 
-// Before Criterion, whose macros Boost's headers do not stand.
+// Included before Criterion, whose macros break Boost's headers.
 #include <boost/json.hpp>
 
 #include <criterion/criterion.h>
--- a/tests/edge/tests.cmake
+++ b/tests/edge/tests.cmake
@@ -3,3 +3,5 @@
 target_link_libraries(edge_test_support PUBLIC gooseberryfall_adapter gooseberryfall_platform_stand_ins
     Boost::json)
 add_tests(edge edge_test_support)
+# Several instances for each test: beside other programs their threads would wait for processors.
+set_tests_properties(edge_edge_node_test PROPERTIES RUN_SERIAL TRUE)
