core: run no item or innocent request again for what is decided elsewhere

Cause: 1. crashing_request_is_stopped: after a target died, two instances sent a marked request each to the same idle target. It died by the one, and both counted a death alone (seen in the new target_death lines). 2. log_down_and_slow, "item 13 was seen 2 times", cut off 0.3 ms after it began: a new governor's first permit rests on a report from before the start of the newest stream, so that stream was cancelled as excess. 3. The governor took streams of a permit that it had just raised for use that nobody reports, when the target's own report came first. 4. log_down_and_slow, results of 300 items written twice: a partition was moved for balance while its items ran and their results were on the way to a log that was down. Ruled out: the engines (each dead engine had the crashing request), the retry budget, loss of permits (none expired in the traces). Change: the targets are divided among the instances for marked requests; permits of a new governor leave streams younger than 200 ms alone; new permits explain what a target reports; a shard drains for at most 10 s before it moves. target_death lines tell fingerprint, target and counts. A failed check_seen_once tells engine, time and end of each run. An instance without a target of its own still runs marked requests beside others after a second; their deaths count as shared.

--- a/src/core/batch_partition.cpp
+++ b/src/core/batch_partition.cpp
@@ -319,6 +319,13 @@
     return group.take();
 }
 
+bool batch_partition::has_open_work() const
+{
+    return attempts_open_ > 0 || std::any_of(work_.begin(), work_.end(), [](const auto& entry) {
+               return entry.second.running + entry.second.unwritten > 0;
+           });
+}
+
 void batch_partition::append_acknowledged()
 {
     in_flight_ = false;
--- a/src/core/batch_partition.hpp
+++ b/src/core/batch_partition.hpp
@@ -121,6 +121,9 @@
     /// Items that wait to be run, by service. 0 unless active.
     std::uint32_t pending(const service_id& service) const;
 
+    /// Whether items run, or attempts or results have not been read back.
+    bool has_open_work() const;
+
     /// Running an item ended. Ignored unless the item was handed out and is still to be run. With
     /// `yielded` the body is the whole text generated so far; an item that may not be repeated
     /// ends as failed then, since sending it again would run it twice. With `rejected` an empty
--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -16,6 +16,12 @@
 /// Bound on the rate of reports of changed use, except for online arrivals.
 constexpr std::chrono::milliseconds report_interval{50};
 
+/// Time in which a start reaches a new governor and the permit that answers it comes back.
+constexpr std::chrono::milliseconds permit_lag{200};
+
+/// Time for which a governor is new; it permits only what it has been told of in its first 500 ms.
+constexpr std::chrono::seconds governor_is_new{1};
+
 constexpr std::chrono::milliseconds governed_interval{200};
 constexpr std::chrono::seconds query_lifetime{2};
 constexpr std::chrono::seconds carry_interval{1};
@@ -153,7 +159,7 @@
         break;
     case dispatch_outcome::connection_lost:
         parts_.targets.on_failure(item.target, now);
-        parts_.broadcast(parts_.crashes.on_death(item.fingerprint, item.alone, now), now);
+        parts_.record_death(item.fingerprint, item.target, item.alone, now);
         break;
     case dispatch_outcome::not_sent:
     case dispatch_outcome::timed_out:
@@ -183,9 +189,15 @@
     held->second->replay.finished(item.job, item.index, how, finished.body, now);
 }
 
-void batch_runner::on_permit(const capacity_permit& permit, time_point now)
+void batch_runner::on_permit(const instance_id& from, const capacity_permit& permit, time_point now)
 {
-    permits_[permit.target] = {permit.batch, now + permit_lifetime};
+    permit_state& state = permits_[permit.target];
+    if (state.governor != from) {
+        state.governor = from;
+        state.governor_since = now;
+    }
+    state.slots = permit.batch;
+    state.expires_at = now + permit_lifetime;
     parts_.targets.on_online_elsewhere(permit.target, permit.online_elsewhere, now);
     parts_.targets.on_leaving_word(permit.target, permit.leaving, now);
     cancel_excess(now);
@@ -265,7 +277,7 @@
     for (addressed_permit& addressed : parts_.governor.permits(now)) {
         addressed.permit.leaving = parts_.targets.leaving(addressed.permit.target);
         if (addressed.instance == parts_.settings.self.instance) {
-            on_permit(addressed.permit, now);
+            on_permit(addressed.instance, addressed.permit, now);
         }
         else {
             parts_.send(addressed.instance, addressed.permit);
@@ -299,12 +311,13 @@
     }
 }
 
-bool batch_runner::lately_idle(const service_id& service, time_point now)
+bool batch_runner::lately_idle(const service_id& service, const std::set<target_id>& avoided,
+                               time_point now)
 {
     const std::vector<target_id> targets = parts_.targets.targets_of(service);
     const bool idle = std::any_of(targets.begin(), targets.end(), [&](const target_id& id) {
-        return parts_.targets.usable(id, now) && parts_.targets.online(id) == 0 &&
-               parts_.targets.batch(id) == 0;
+        return !avoided.contains(id) && parts_.targets.usable(id, now) &&
+               parts_.targets.online(id) == 0 && parts_.targets.batch(id) == 0;
     });
     time_point& seen_at = idle_seen_at_.try_emplace(service, now).first->second;
     if (idle) {
@@ -319,14 +332,19 @@
     if (info == nullptr) {
         return false;
     }
-    const bool idle = parts_.targets.online(id) == 0 && parts_.targets.batch(id) == 0;
+    // Only marked items need it, and usually there are none.
+    const std::set<target_id> avoided = parts_.crashes.size() == 0
+                                            ? std::set<target_id>()
+                                            : parts_.targets_to_avoid(info->service, now);
+    const bool idle =
+        !avoided.contains(id) && parts_.targets.online(id) == 0 && parts_.targets.batch(id) == 0;
     // A target that is down is always idle. Marked items that try it would be taken for its killers
     // although they are innocent, so they wait for a sound target if there is one.
     const bool sound =
         parts_.targets.sound(id, now) || !parts_.targets.any_sound(info->service, now);
     // Under load no target is ever idle; marked items must not hold up the others until one is.
-    const bool may_run_marked =
-        sound && !parts_.marked_targets.contains(id) && (idle || !lately_idle(info->service, now));
+    const bool may_run_marked = sound && !parts_.marked_targets.contains(id) &&
+                                (idle || !lately_idle(info->service, avoided, now));
     quarantine_ruling ruling = quarantine_ruling::run;
     const auto ready = [&](const runnable_item& item) {
         if (item.service != info->service) {
@@ -343,7 +361,8 @@
         next_partition_ = position->first;
         held_partition& held = *position->second;
         const shard_id shard{shard_kind::batch, position->first};
-        if (!held.replay.active() || !parts_.shards.held_epoch(shard)) {
+        if (!held.replay.active() || !parts_.shards.held_epoch(shard) ||
+            parts_.shards.draining(shard)) {
             continue;
         }
         const std::optional<runnable_item> item = held.replay.next(ready, now);
@@ -355,14 +374,14 @@
             return true;
         }
         const bool marked = ruling == quarantine_ruling::run_alone;
-        dispatch_item(position->first, *item, *info, marked, marked && idle);
+        dispatch_item(position->first, *item, *info, {marked, marked && idle, now});
         return true;
     }
     return false;
 }
 
 void batch_runner::dispatch_item(std::uint32_t partition, const runnable_item& item,
-                                 const target& info, bool marked, bool alone)
+                                 const target& info, const item_start& how)
 {
     running_item state;
     state.partition = partition;
@@ -370,8 +389,9 @@
     state.index = item.index;
     state.fingerprint = item.fingerprint;
     state.target = info.id;
-    state.marked = marked;
-    state.alone = alone;
+    state.marked = how.marked;
+    state.alone = how.alone;
+    state.started_at = how.at;
     state.repeatable = item.repeatable;
     dispatch sending;
     sending.dispatch = parts_.next_dispatch++;
@@ -384,10 +404,10 @@
     sending.repeatable = item.repeatable;
     sending.timeouts = parts_.settings.timeouts;
     running_.emplace(sending.dispatch, state);
-    if (alone) {
+    if (how.alone) {
         parts_.reserved_targets.insert(info.id);
     }
-    if (marked) {
+    if (how.marked) {
         parts_.marked_targets.insert(info.id);
     }
     parts_.targets.on_batch_started(info.id);
@@ -434,15 +454,25 @@
 
 void batch_runner::cancel_excess(time_point now)
 {
+    // The permits of a new governor do not know the streams that began under its predecessor's last
+    // permit; when they were cut off, their items ran again.
+    const auto is_unknown = [&](const running_item& item) {
+        const auto permit = permits_.find(item.target);
+        return permit != permits_.end() && now < permit->second.governor_since + governor_is_new &&
+               now < item.started_at + permit_lag;
+    };
+    const auto counts_now = [&](const running_item& item) {
+        return !item.cancelling && !is_unknown(item);
+    };
     std::map<target_id, std::uint32_t> counts;
     for (const auto& [id, item] : running_) {
-        if (!item.cancelling) {
+        if (counts_now(item)) {
             ++counts[item.target];
         }
     }
     for (auto position = running_.rbegin(); position != running_.rend(); ++position) {
         const running_item& item = position->second;
-        if (item.cancelling || !item.repeatable) {
+        if (!counts_now(item) || !item.repeatable) {
             continue;
         }
         std::uint32_t& count = counts[item.target];
@@ -568,6 +598,17 @@
     }
 }
 
+std::set<shard_id> batch_runner::busy_shards() const
+{
+    std::set<shard_id> busy;
+    for (const auto& [partition, held] : partitions_) {
+        if (held->open_append || held->replay.has_open_work()) {
+            busy.insert({shard_kind::batch, partition});
+        }
+    }
+    return busy;
+}
+
 std::vector<job_status> batch_runner::list_jobs() const
 {
     std::vector<job_status> all;
@@ -591,6 +632,7 @@
 {
     if (!governed_checked_at_ || now >= *governed_checked_at_ + governed_interval) {
         update_governed(now);
+        cancel_excess(now);
     }
     send_reports(now);
     send_permits(now);
--- a/src/core/batch_runner.hpp
+++ b/src/core/batch_runner.hpp
@@ -40,7 +40,7 @@
     void on_finished(const dispatch_finished& finished, time_point now);
 
     /// A governor's permit.
-    void on_permit(const capacity_permit& permit, time_point now);
+    void on_permit(const instance_id& from, const capacity_permit& permit, time_point now);
 
     /// An instance reports its use of a target that may be governed here.
     void on_report(const instance_id& from, const capacity_report& report, time_point now);
@@ -60,6 +60,9 @@
     /// Items running.
     std::size_t running() const { return running_.size(); }
 
+    /// Held partitions with items that run, or results that have not been read back from the log.
+    std::set<shard_id> busy_shards() const;
+
     /// Partitions held, for status.
     std::vector<job_status> list_jobs() const;
 
@@ -86,10 +89,19 @@
         bool alone = false;
         bool repeatable = true;
         bool cancelling = false;
+        time_point started_at;
+    };
+    /// How an item is started.
+    struct item_start {
+        bool marked = false;
+        bool alone = false;
+        time_point at;
     };
     struct permit_state {
         std::uint32_t slots = 0;
         time_point expires_at;
+        instance_id governor;
+        time_point governor_since;
     };
     struct sent_report {
         capacity_report report;
@@ -108,11 +120,11 @@
     void send_permits(time_point now);
     void start_items(time_point now);
     bool start_item(const target_id& id, time_point now);
-    /// Whether a usable target of the service runs nothing of this instance, or did so a short
-    /// while ago.
-    bool lately_idle(const service_id& service, time_point now);
+    /// Whether a usable target of the service outside `avoided` runs nothing of this instance, or
+    /// did so a short while ago.
+    bool lately_idle(const service_id& service, const std::set<target_id>& avoided, time_point now);
     void dispatch_item(std::uint32_t partition, const runnable_item& item, const target& info,
-                       bool marked, bool alone);
+                       const item_start& how);
     void cancel_excess(time_point now);
     void cancel_jobs_stopped();
     void plan_carry(time_point now);
--- a/src/core/capacity_governor.cpp
+++ b/src/core/capacity_governor.cpp
@@ -102,7 +102,7 @@
         return;
     }
     // The report lags, so what the instances used at any time of the window explains it.
-    std::uint32_t explained = 0;
+    std::uint32_t explained = may_use_now(governed, now);
     for (const use_sample& sample : governed.samples) {
         explained = std::max(explained, sample.all_high);
     }
@@ -126,6 +126,23 @@
     return online;
 }
 
+std::uint32_t capacity_governor::may_use_now(const governed_target& governed, time_point now) const
+{
+    std::uint32_t all = 0;
+    for (const auto& [instance, use] : governed.uses) {
+        if (!is_reporting(use, now)) {
+            continue;
+        }
+        // Streams of a new permit reach the target before the instance reports them.
+        const bool unreported =
+            use.raised_at && (use.at <= *use.raised_at || now < *use.raised_at + reaction_time);
+        const std::uint32_t batch =
+            unreported ? std::max(use.report.batch, use.permitted) : use.report.batch;
+        all += use.report.online + batch;
+    }
+    return all;
+}
+
 bool capacity_governor::is_new(const governed_target& governed, time_point now) const
 {
     return !governed.since || now < *governed.since + first_round;
@@ -317,6 +334,9 @@
             use.withdrawn = std::max(use.withdrawn, use.permitted);
             use.withdrawn_at = now;
         }
+        if (raise) {
+            use.raised_at = now;
+        }
         use.permitted = each.permit;
         use.told_elsewhere = elsewhere;
         use.sent_at = now;
--- a/src/core/capacity_governor.hpp
+++ b/src/core/capacity_governor.hpp
@@ -70,6 +70,8 @@
         std::uint32_t permitted = 0;
         std::uint32_t told_elsewhere = 0;
         std::optional<time_point> sent_at;
+        /// Time at which a permit was last raised.
+        std::optional<time_point> raised_at;
         /// Larger permit sent before, which the instance may still use.
         std::uint32_t withdrawn = 0;
         std::optional<time_point> withdrawn_at;
@@ -110,6 +112,8 @@
 
     bool is_reporting(const instance_use& use, time_point now) const;
     std::uint32_t online_of(const governed_target& governed, time_point now) const;
+    /// What the instances report, and what permits that they cannot have answered yet allow.
+    std::uint32_t may_use_now(const governed_target& governed, time_point now) const;
     bool is_new(const governed_target& governed, time_point now) const;
     void record(governed_target& governed, time_point now) const;
     void forget_silent(governed_target& governed, time_point now) const;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -274,9 +274,9 @@
     batch_.on_report(from.instance, message, parts_.event_time);
 }
 
-void node::implementation::on_message(const incarnation_id&, const capacity_permit& message)
+void node::implementation::on_message(const incarnation_id& from, const capacity_permit& message)
 {
-    batch_.on_permit(message, parts_.event_time);
+    batch_.on_permit(from.instance, message, parts_.event_time);
 }
 
 void node::implementation::on_message(const incarnation_id&, const crash_notice& message)
@@ -315,7 +315,7 @@
 {
     const shard_orders orders = parts_.shards.update(
         parts_.state, parts_.freshness, parts_.members.serving(parts_.event_time),
-        parts_.members.reachable(parts_.event_time), parts_.event_time);
+        parts_.members.reachable(parts_.event_time), batch_.busy_shards(), parts_.event_time);
     awaiting_majority_ = orders.awaiting_majority;
     apply_orders(orders);
 }
--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -2,6 +2,9 @@
 
 #include "core/rendezvous.hpp"
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
 #include <cstring>
 
 namespace gooseberryfall::core {
@@ -53,6 +56,16 @@
     return prefix;
 }
 
+/// The first bytes of a digest as hexadecimal digits, for log lines.
+std::string prefix_text(const digest& value)
+{
+    constexpr int digits = 16;
+    std::array<char, digits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%0*llx", digits,
+                  static_cast<unsigned long long>(digest_prefix(value)));
+    return text.data();
+}
+
 /// Compares without a branch on the content, so that timing tells nothing about the digest.
 bool equal_constant_time(const digest& left, const digest& right)
 {
@@ -98,6 +111,19 @@
     }
 }
 
+void node_parts::record_death(const digest& fingerprint, const target_id& target, bool alone,
+                              time_point now)
+{
+    const crash_notice notice = crashes.on_death(fingerprint, alone, now);
+    emit(log_line{"target_death",
+                  {{"fingerprint", prefix_text(fingerprint)},
+                   {"target", target.value()},
+                   {"alone", alone ? "true" : "false"},
+                   {"deaths", std::to_string(notice.deaths)},
+                   {"deaths_alone", std::to_string(notice.deaths_alone)}}});
+    broadcast(notice, now);
+}
+
 void node_parts::remember_address(const incarnation_id& from, const std::string& address)
 {
     addresses_[from.instance] = {from, address};
@@ -234,4 +260,22 @@
     return rendezvous(id.value(), members.serving(now));
 }
 
+std::set<target_id> node_parts::targets_to_avoid(const service_id& service, time_point now) const
+{
+    std::vector<instance_id> instances = members.serving(now);
+    std::sort(instances.begin(), instances.end());
+    std::vector<target_id> all = targets.targets_of(service);
+    std::sort(all.begin(), all.end());
+    std::set<target_id> avoided;
+    const bool any_sound = targets.any_sound(service, now);
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        const bool own =
+            !instances.empty() && instances[index % instances.size()] == settings.self.instance;
+        if (!own || (any_sound && !targets.sound(all[index], now))) {
+            avoided.insert(all[index]);
+        }
+    }
+    return avoided;
+}
+
 } // namespace gooseberryfall::core
--- a/src/core/node_parts.hpp
+++ b/src/core/node_parts.hpp
@@ -72,6 +72,11 @@
     /// Team of a key, or the refusal.
     std::pair<std::optional<api_key>, refusal> find_key(const std::optional<digest>& key) const;
 
+    /// A target's connection broke with a request in flight: counts it against the request's
+    /// fingerprint, tells the other instances, and logs it.
+    void record_death(const digest& fingerprint, const target_id& target, bool alone,
+                      time_point now);
+
     /// Rebuilds what is derived from the fleet.
     void on_fleet_changed(time_point now);
 
@@ -81,6 +86,12 @@
     /// Instance that governs a target.
     instance_id governor_of(const target_id& id, time_point now) const;
 
+    /// Targets of the service on which this instance runs no marked request alone: those of other
+    /// instances, and targets that failed while others are sound. The targets are divided among the
+    /// serving instances, because two that see the same idle target would both send a request, and
+    /// each death there would count as a death alone.
+    std::set<target_id> targets_to_avoid(const service_id& service, time_point now) const;
+
     const node_settings& settings;
     control_state state;
     currency freshness;
--- a/src/core/online_requests.cpp
+++ b/src/core/online_requests.cpp
@@ -272,6 +272,13 @@
 std::optional<target_id> online_requests::choose_target(request_id id, request_state& state,
                                                         time_point now)
 {
+    // Targets where this instance sends nothing beside what it has sent already.
+    std::set<target_id> taken = parts_.reserved_targets;
+    std::set<target_id> avoided;
+    if (state.marked) {
+        taken.insert(parts_.marked_targets.begin(), parts_.marked_targets.end());
+        avoided = parts_.targets_to_avoid(state.service, now);
+    }
     route_query query;
     query.service = state.service;
     query.prefix = state.prefix;
@@ -279,10 +286,8 @@
     query.alone = state.alone;
     query.failed_before = !state.failed_targets.empty();
     query.exclude = state.failed_targets;
-    query.exclude.insert(parts_.reserved_targets.begin(), parts_.reserved_targets.end());
-    if (state.marked) {
-        query.exclude.insert(parts_.marked_targets.begin(), parts_.marked_targets.end());
-    }
+    query.exclude.insert(taken.begin(), taken.end());
+    query.exclude.insert(avoided.begin(), avoided.end());
     std::optional<target_id> chosen = parts_.targets.choose(query, now);
     const bool waited =
         state.marked_since && now >= *state.marked_since + parts_.settings.crashes.idle_wait;
@@ -292,6 +297,12 @@
         query.alone = false;
         chosen = parts_.targets.choose(query, now);
     }
+    if (!chosen && waited) {
+        avoided.clear();
+        query.exclude = state.failed_targets;
+        query.exclude.insert(taken.begin(), taken.end());
+        chosen = parts_.targets.choose(query, now);
+    }
     if (chosen || state.failed_targets.empty()) {
         return chosen;
     }
@@ -301,13 +312,8 @@
             return std::nullopt;
         }
     }
-    for (const target_id& failed : state.failed_targets) {
-        const bool taken = parts_.reserved_targets.contains(failed) ||
-                           (state.marked && parts_.marked_targets.contains(failed));
-        if (!taken) {
-            query.exclude.erase(failed);
-        }
-    }
+    query.exclude = taken;
+    query.exclude.insert(avoided.begin(), avoided.end());
     return parts_.targets.choose(query, now);
 }
 
@@ -458,7 +464,7 @@
     state.failed_targets.insert(failed);
     if (state.answered) {
         if (finished.outcome == dispatch_outcome::connection_lost) {
-            note_death(state, now);
+            parts_.record_death(state.fingerprint, failed, state.alone, now);
         }
         forget(id);
         return;
@@ -487,7 +493,7 @@
                         now);
         return;
     case dispatch_outcome::connection_lost:
-        note_death(state, now);
+        parts_.record_death(state.fingerprint, failed, state.alone, now);
         retry_or_refuse(id, state,
                         {refusal_code::target_failed,
                          "the target ended before its answer was whole", run_verdict::may_have_run,
@@ -509,11 +515,6 @@
     }
 }
 
-void online_requests::note_death(const request_state& state, time_point now)
-{
-    parts_.broadcast(parts_.crashes.on_death(state.fingerprint, state.alone, now), now);
-}
-
 void online_requests::retry_or_refuse(request_id id, request_state& state, const refusal& reason,
                                       time_point now)
 {
--- a/src/core/online_requests.hpp
+++ b/src/core/online_requests.hpp
@@ -100,7 +100,6 @@
     void dispatch_queued(time_point now);
     std::optional<target_id> choose_target(request_id id, request_state& state, time_point now);
     void start(request_id id, request_state& state, const target_id& target, time_point now);
-    void note_death(const request_state& state, time_point now);
     void retry_or_refuse(request_id id, request_state& state, const refusal& reason,
                          time_point now);
     void give_up(request_id id, refusal reason);
--- a/src/core/shard_manager.cpp
+++ b/src/core/shard_manager.cpp
@@ -175,6 +175,8 @@
     std::optional<time_point> claimable_since;
     /// Until when the shard is not moved for balance.
     std::optional<time_point> stays_until;
+    /// Since when the shard starts no work, because it is to move for balance.
+    std::optional<time_point> draining_since;
 
     shard_phase phase() const { return lease_state.phase; }
     bool is_free() const { return seen.epoch == 0 || seen.released; }
@@ -185,6 +187,7 @@
     const control_state& state;
     const currency& freshness;
     const std::vector<instance_id>& reachable;
+    const std::set<shard_id>& busy;
     time_point now;
     /// The log was read up to its head within the bound: what is ordered rests on the newest
     /// leases, and the append can succeed.
@@ -209,7 +212,8 @@
 
 shard_orders shard_manager::update(const control_state& state, const currency& freshness,
                                    const std::vector<instance_id>& serving,
-                                   const std::vector<instance_id>& reachable, time_point now)
+                                   const std::vector<instance_id>& reachable,
+                                   const std::set<shard_id>& busy, time_point now)
 {
     shard_orders orders;
     if (!state.complete()) {
@@ -219,14 +223,17 @@
     const auto self = state.members().find(settings_.self.instance);
     const bool is_member =
         self != state.members().end() && self->second.incarnation == settings_.self;
-    const situation seen{state, freshness, reachable, now, log_current, is_member};
+    const situation seen{state, freshness, reachable, busy, now, log_current, is_member};
     last_change_ = last_change_.value_or(now);
     rank_candidates(serving);
     for (auto& [shard, entry] : machines_) {
         follow_log(*entry, seen, orders);
         consider_claim(*entry, seen, orders);
     }
-    balance(seen, orders);
+    balance(seen);
+    for (auto& [shard, entry] : machines_) {
+        follow_drain(*entry, seen, orders);
+    }
     return orders;
 }
 
@@ -250,6 +257,12 @@
     return found->second->lease_state.epoch;
 }
 
+bool shard_manager::draining(const shard_id& shard) const
+{
+    const auto found = machines_.find(shard);
+    return found != machines_.end() && found->second->draining_since.has_value();
+}
+
 std::vector<shard_id> shard_manager::held() const
 {
     std::vector<shard_id> result;
@@ -428,7 +441,7 @@
     entry.lease_state.process_event(release_ordered{now});
 }
 
-void shard_manager::balance(const situation& seen, shard_orders& orders)
+void shard_manager::balance(const situation& seen)
 {
     const auto turns = (seen.now - *last_change_) / settings_.balance_interval;
     if (turns < 1 || leaving_ || !seen.log_current) {
@@ -447,11 +460,30 @@
     // holder does not agree.
     const auto turn = static_cast<std::size_t>(turns - 1) % misplaced.size();
     machine& entry = *misplaced[turn];
-    if (entry.phase() != shard_phase::held) {
+    if (entry.phase() == shard_phase::held && !entry.draining_since) {
+        entry.draining_since = seen.now;
+    }
+}
+
+void shard_manager::follow_drain(machine& entry, const situation& seen, shard_orders& orders)
+{
+    if (!entry.draining_since) {
+        return;
+    }
+    if (entry.phase() != shard_phase::held || !is_misplaced(entry, seen)) {
+        entry.draining_since.reset();
         return;
     }
-    release(entry, seen.now, orders);
-    last_change_ = seen.now;
+    if (!seen.busy.contains(entry.shard) && seen.log_current) {
+        entry.draining_since.reset();
+        release(entry, seen.now, orders);
+        last_change_ = seen.now;
+        return;
+    }
+    if (seen.now - *entry.draining_since >= settings_.drain_limit) {
+        entry.draining_since.reset();
+        entry.stays_until = seen.now + settings_.fallback_hold;
+    }
 }
 
 bool shard_manager::is_misplaced(const machine& entry, const situation& seen) const
--- a/src/core/shard_manager.hpp
+++ b/src/core/shard_manager.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace gooseberryfall::core {
@@ -23,6 +24,10 @@
     duration takeover_wait = std::chrono::milliseconds(3300);
     /// Time between releases for balance, so that a new member does not move all shards at once.
     duration balance_interval = std::chrono::seconds(1);
+    /// Longest time for which a shard that is to move for balance starts no work while its open
+    /// work ends. A shard that is still busy then stays for `fallback_hold`: work that takes longer
+    /// would otherwise stand still, or be cut off and run again.
+    duration drain_limit = std::chrono::seconds(10);
     /// Time for which a holder must stay silent to this instance after a majority has been asked,
     /// so that a holder that only others suspect can still answer.
     duration confirm_time = std::chrono::milliseconds(60);
@@ -34,7 +39,8 @@
     /// Time after which the next instance in rendezvous order claims a shard that the one before it
     /// leaves alone, for example because it cannot write to the log.
     duration fallback_interval = std::chrono::seconds(2);
-    /// Time for which a shard that was claimed as a fallback is not moved back.
+    /// Time for which a shard that was claimed as a fallback, or was too busy to move, is not
+    /// moved.
     duration fallback_hold = std::chrono::seconds(60);
 };
 
@@ -70,11 +76,13 @@
 
     /// The control state changed, or time has passed. `serving` are the members that should hold
     /// shards, `reachable` those that are not suspect; both sorted. Must be called after every
-    /// change of the control state before `held_epoch` is asked. Nothing is done while the state is
+    /// change of the control state before `held_epoch` is asked. `busy` are the shards with open
+    /// work, which is ended before they move for balance. Nothing is done while the state is
     /// incomplete.
     shard_orders update(const control_state& state, const currency& freshness,
                         const std::vector<instance_id>& serving,
-                        const std::vector<instance_id>& reachable, time_point now);
+                        const std::vector<instance_id>& reachable, const std::set<shard_id>& busy,
+                        time_point now);
 
     /// From now on all shards are given up and none is claimed. A shard is given up once the log
     /// can be read, since nobody could take it before.
@@ -87,6 +95,9 @@
     /// control state; the caller checks currency.
     std::optional<lease_epoch> held_epoch(const shard_id& shard) const;
 
+    /// Whether the shard is about to move for balance, so that no new work is to be started.
+    bool draining(const shard_id& shard) const;
+
     /// Shards held.
     std::vector<shard_id> held() const;
 
@@ -109,7 +120,8 @@
     void consider_claim(machine& entry, const situation& seen, shard_orders& orders);
     bool may_claim(machine& entry, const situation& seen, shard_orders& orders) const;
     void release(machine& entry, time_point now, shard_orders& orders);
-    void balance(const situation& seen, shard_orders& orders);
+    void balance(const situation& seen);
+    void follow_drain(machine& entry, const situation& seen, shard_orders& orders);
     bool is_misplaced(const machine& entry, const situation& seen) const;
 
     shard_settings settings_;
--- a/tests/core/capacity_governor_test.cpp
+++ b/tests/core/capacity_governor_test.cpp
@@ -266,6 +266,26 @@
     cr_assert_eq(test.governor.batch_limit(engine, test.now + seconds(1)), 19U);
 }
 
+// Guards against streams that a new permit starts being taken for use that nobody reports, because
+// the target's report came before the instance's: the permit was withdrawn and its streams yielded
+// at once (process test log_down_and_slow, items seen twice).
+Test(capacity_governor, streams_of_a_new_permit_are_no_unseen_use)
+{
+    bench test(20);
+    test.set(alpha, 0, 0, 100);
+    while (test.permit(alpha) == 0) {
+        test.run(milliseconds(10));
+    }
+    const std::uint32_t granted = test.permit(alpha);
+    test.governor.on_target_report(engine, granted, test.now);
+    test.run(milliseconds(40));
+    cr_assert_eq(test.permit(alpha), granted);
+    // Once the instance has reported without that use, somebody else has it.
+    test.run(milliseconds(400));
+    test.governor.on_target_report(engine, granted, test.now);
+    cr_assert_eq(test.governor.batch_limit(engine, test.now), 20U - 1U - granted);
+}
+
 // Guards against a baseline that holds batch work back.
 Test(capacity_governor, baseline_lends_all)
 {
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -117,6 +117,49 @@
     }
 }
 
+// Guards against items that run again because their partition moves to an instance that joined,
+// while they run or their results are on the way to the log (process test log_down_and_slow).
+Test(node, moves_partitions_for_balance_without_running_items_again)
+{
+    fake_deployment deployment(14, 3);
+    deployment.service_time = seconds(1);
+    cr_assert(deployment.start(fake_deployment::make_fleet({make_team("a", 50, 50)}, 4, 8)));
+    // The partition that moves to instance 1 when it joins again.
+    const auto holder = [&](std::uint32_t partition) {
+        return deployment.node_of(0)
+            .state()
+            .leases()
+            .at({core::shard_kind::batch, partition})
+            .holder;
+    };
+    deployment.run_for(seconds(10));
+    std::uint32_t moving = 0;
+    while (holder(moving).instance.value() != "i-1") {
+        cr_assert_lt(++moving, 4U, "instance 1 holds no partition");
+    }
+    deployment.kill(1);
+    deployment.run_for(seconds(10));
+    std::string name = "job";
+    while (core::partition_of(job_of("a", name), 4) != moving) {
+        name += '+';
+    }
+    constexpr std::size_t items = 500;
+    deployment.submit(0, "key-a", name, make_items(items));
+    deployment.run_for(seconds(2));
+    const core::incarnation_id before = holder(moving);
+    deployment.restart(1);
+    deployment.run_for(seconds(70));
+    cr_assert(holder(moving) != before, "the partition did not move");
+    std::map<std::uint32_t, int> runs;
+    for (const auto& entry : deployment.doors()) {
+        ++runs[entry.index];
+    }
+    cr_assert_eq(runs.size(), items);
+    const auto again =
+        std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run.second != 1; });
+    cr_assert_eq(again, 0, "%ld items ran again", static_cast<long>(again));
+}
+
 // Guards against tokens made by kills, takeovers and floods at all instances at once.
 Test(node, keeps_teams_within_rate_and_burst)
 {
@@ -305,6 +348,44 @@
     cr_assert_eq(done, 100);
 }
 
+// Guards against an innocent request that is refused as crashing, because two instances sent marked
+// requests to one idle target: whichever ended it, both counted a death alone
+// (process test crashing_request_is_stopped).
+Test(node, refuses_no_innocent_request_beside_one_that_ends_its_targets)
+{
+    constexpr std::uint32_t instances = 3;
+    constexpr std::uint32_t targets = 6;
+    fake_deployment deployment(91, instances);
+    deployment.service_time = milliseconds(100);
+    cr_assert(
+        deployment.start(fake_deployment::make_fleet({make_team("a", 1000, 1000)}, targets, 8)));
+    std::size_t refused = 0;
+    std::size_t stopped = 0;
+    constexpr std::size_t rounds = 60;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        const std::string poison_body = "poison " + std::to_string(round);
+        deployment.set_crashing(fake_deployment::fake_digest(poison_body));
+        // One request on each target; the crashing one stands beside one of them, and both wait
+        // until the others end and leave their targets idle.
+        std::vector<std::uint64_t> innocent;
+        for (std::uint32_t number = 0; number < targets; ++number) {
+            innocent.push_back(deployment.call_online(number % instances, "key-a",
+                                                      "innocent " + std::to_string(round) + ' ' +
+                                                          std::to_string(number)));
+        }
+        deployment.run_for(milliseconds(60));
+        const std::uint64_t poison = deployment.call_online(0, "key-a", poison_body);
+        deployment.run_for(seconds(6));
+        stopped += deployment.result(poison).reason.code == core::refusal_code::crashes_targets;
+        refused += static_cast<std::size_t>(
+            std::count_if(innocent.begin(), innocent.end(), [&](std::uint64_t call) {
+                return deployment.result(call).reason.code == core::refusal_code::crashes_targets;
+            }));
+    }
+    cr_assert_eq(stopped, rounds);
+    cr_assert_eq(refused, 0U, "%zu innocent requests were refused", refused);
+}
+
 // Guards against a shutdown that cuts off requests or loses leases.
 Test(node, leaves_without_cutting_off_requests)
 {
--- a/tests/core/shard_manager_test.cpp
+++ b/tests/core/shard_manager_test.cpp
@@ -7,6 +7,7 @@
 
 namespace core = gooseberryfall::core;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const core::shard_id control{core::shard_kind::control, 0};
 const core::incarnation_id self{core::instance_id("b"), 2};
@@ -21,6 +22,7 @@
     core::time_point now = core::time_point(std::chrono::hours(1));
     std::vector<core::instance_id> serving{self.instance};
     std::vector<core::instance_id> reachable{other.instance, self.instance, third.instance};
+    std::set<core::shard_id> busy;
     std::uint64_t sequence = 0;
 
     scene()
@@ -63,7 +65,7 @@
         if (with_log) {
             freshness.log_answered(now, state.next_offset());
         }
-        return shards.update(state, freshness, serving, reachable, now);
+        return shards.update(state, freshness, serving, reachable, busy, now);
     }
 
     void answer(const core::incarnation_id& from)
@@ -153,7 +155,8 @@
         test.now += milliseconds(100);
         freshness.log_answered(test.now, test.state.next_offset());
         freshness.member_answered(third.instance, test.now, test.state.next_offset());
-        return restarted.update(test.state, freshness, test.serving, test.reachable, test.now);
+        return restarted.update(test.state, freshness, test.serving, test.reachable, test.busy,
+                                test.now);
     };
     update();
     cr_assert_eq(update().claims.size(), 1U);
@@ -227,3 +230,29 @@
     cr_assert_eq(test.update().claims.size(), first ? 1U : 0U);
     cr_assert_eq(test.update(milliseconds(2000)).claims.size(), first ? 0U : 1U);
 }
+
+// Guards against work that is cut off because its shard moves for balance, and against work that
+// stands still for long because of it.
+Test(shard_manager, busy_shard_drains_before_it_moves)
+{
+    scene test;
+    test.claim(self, 0);
+    test.update();
+    cr_assert(test.acts());
+    test.serving = {other.instance};
+    test.busy = {control};
+    cr_assert(test.update(seconds(2)).releases.empty());
+    cr_assert(test.shards.draining(control));
+    cr_assert(test.acts());
+    cr_assert(test.update(seconds(9)).releases.empty());
+    cr_assert(test.shards.draining(control));
+    cr_assert(test.update(seconds(1)).releases.empty());
+    cr_assert_not(test.shards.draining(control), "a shard that stays busy works on");
+    cr_assert(test.update(seconds(30)).releases.empty());
+    cr_assert_not(test.shards.draining(control));
+    cr_assert(test.update(seconds(31)).releases.empty());
+    cr_assert(test.shards.draining(control));
+    test.busy.clear();
+    cr_assert_eq(test.update().releases.size(), 1U);
+    cr_assert_not(test.acts());
+}
--- a/tests/process/job_history.cpp
+++ b/tests/process/job_history.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <sstream>
 #include <thread>
@@ -20,6 +21,26 @@
 
 using clock_type = std::chrono::steady_clock;
 
+/// Engine, times and end of each run whose body holds `mark`, so that a failure tells which run was
+/// cut off and by what.
+std::string runs_text(const std::vector<process_deployment::seen_request>& seen,
+                      const std::string& mark)
+{
+    const auto by_arrival = [](const auto& left, const auto& right) {
+        return left.at_us < right.at_us;
+    };
+    const auto first = std::min_element(seen.begin(), seen.end(), by_arrival);
+    std::string text;
+    for (const auto& request : seen) {
+        if (request.body.find(mark) != std::string::npos) {
+            text += "; engine " + std::to_string(request.engine) + " at " +
+                    std::to_string(request.at_us - first->at_us) + " us, left after " +
+                    std::to_string(request.ended_us - request.at_us) + " us: " + request.end;
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 std::string job_lines(const std::string& name, std::uint32_t items, std::uint32_t tokens)
@@ -150,13 +171,14 @@
 std::string check_seen_once(const process_deployment& deployment, const std::string& name,
                             std::uint32_t items)
 {
-    const auto counts = times_seen(deployment.seen(), name);
+    const auto seen = deployment.seen();
+    const auto counts = times_seen(seen, name);
     for (std::uint32_t index = 0; index < items; ++index) {
         const auto found = counts.find(index);
         const std::uint32_t times = found == counts.end() ? 0 : found->second;
         if (times != 1) {
             return "item " + std::to_string(index) + " was seen " + std::to_string(times) +
-                   " times";
+                   " times" + runs_text(seen, "<" + name + " item " + std::to_string(index) + ">");
         }
     }
     return {};
