soak: faults of links: slow, reset, cut, one way, silent

Change: soak::faulty_links puts the loopback proxy of the fault tests before each engine, before each instance's way to the store and before the callers' way to each instance. Links between instances are not covered: an instance registers the address on which it listens.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,6 +12,7 @@
 DEFINE_int32(instances, 4, "Daemons");
 DEFINE_int32(engines, 3, "Engines");
 DEFINE_int32(callers, 6, "Callers that send requests side by side");
+DEFINE_bool(link_faults, true, "Faults of links: slow, reset, cut, one way, silent");
 DEFINE_string(daemon, "", "Program of the daemon; required");
 DEFINE_string(folder, "soak-logs", "Folder for settings and logs");
 
@@ -30,6 +31,7 @@
     options.instances = static_cast<std::size_t>(FLAGS_instances);
     options.engines = static_cast<std::size_t>(FLAGS_engines);
     options.callers = static_cast<std::size_t>(FLAGS_callers);
+    options.link_faults = FLAGS_link_faults;
     options.daemon = FLAGS_daemon;
     options.folder = FLAGS_folder + "/" + std::to_string(FLAGS_seed);
     std::filesystem::remove_all(options.folder);
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -31,6 +32,9 @@
 constexpr std::uint32_t events = 12;
 constexpr int items_of_a_job = 4;
 
+/// Values of `link_fault`.
+constexpr std::size_t link_faults = 6;
+
 /// Between two looks for daemons that have ended.
 constexpr milliseconds supervision{150};
 
@@ -69,11 +73,15 @@
         engine.events = events;
         engine.event_gap = milliseconds(15);
         engines_.push_back(std::make_unique<stand_ins::model_engine>(engine));
-        store_.put(names::target_topic, engine.id, engines_.back()->entry());
+        engine_links_.push_back(links_.open(engines_.back()->address()));
+        store_.put(names::target_topic, engine.id,
+                   engines_.back()->entry(false, links_.address(engine_links_.back())));
     }
     put_state(1);
     for (std::size_t index = 0; index < options_.instances; ++index) {
         doors_.push_back(store_.open_door());
+        store_links_.push_back(links_.open(store_.address(doors_.back())));
+        caller_links_.push_back(links_.open(address(index, callers_port)));
         daemons_.push_back(std::make_unique<daemon_process>());
         write_settings(index);
     }
@@ -88,6 +96,11 @@
            '.' + std::to_string(instance + 1) + ':' + std::to_string(port);
 }
 
+std::string soak_run::caller_address(std::size_t instance) const
+{
+    return links_.address(caller_links_[instance]);
+}
+
 std::string soak_run::current_key() const
 {
     return "key-" + std::to_string(version_.load());
@@ -118,7 +131,7 @@
         << address(instance, readiness_port) << "\"\ndirectory = \""
         << address(instance, directory_port) << "\"\ninstances = \""
         << address(instance, internal_port) << "\"\n[store]\naddress = \""
-        << store_.address(doors_[instance])
+        << links_.address(store_links_[instance])
         << "\"\npartitions = 2\nrecord_bytes = 262144\ncall_bytes = 2097152\n"
            "membership_min_ms = 1000\n[bounds]\nstate_in_force_ms = 2000\n"
            "limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\n"
@@ -165,7 +178,7 @@
 {
     // Both routes have the same path length, so that one body is expected of all.
     const std::string path = repeatable ? "/resumable/x" : "/fixed/x";
-    const auto answer = http::call(address(instance, callers_port), "POST", path,
+    const auto answer = http::call(caller_address(instance), "POST", path,
                                    {{"Host", host},
                                     {names::request_id, id},
                                     {names::time_limit, "5000"},
@@ -205,7 +218,7 @@
                                     {"tokens", 70}});
     }
     const auto answer = http::call(
-        address(instance, callers_port), "POST", "/notes/" + job,
+        caller_address(instance), "POST", "/notes/" + job,
         {{"Host", host}, {names::request_id, job}, {"Authorization", "Bearer " + current_key()}},
         json::serialize(json::object{{"items", std::move(list)}}), seconds(6));
     history_.add_submission(job, items, answer.head.status);
@@ -215,7 +228,7 @@
 bool soak_run::read_results(std::size_t instance, const std::string& job, int items)
 {
     const auto answer =
-        http::call(address(instance, callers_port), "GET", names::results_prefix + job,
+        http::call(caller_address(instance), "GET", names::results_prefix + job,
                    {{"Host", host}, {"Authorization", "Bearer " + current_key()}}, {}, seconds(5));
     if (answer.head.status != 200 || answer.outcome != http::call_outcome::completed) {
         return false;
@@ -315,8 +328,32 @@
     }
 }
 
+void soak_run::inject_link_faults()
+{
+    // Its own generator, so that the other faults of a seed stay as they are.
+    std::mt19937_64 random(options_.seed * 1000 + 998);
+    struct choice {
+        const std::vector<std::size_t>* links;
+        const char* name;
+    };
+    const std::array<choice, 3> choices{{{&caller_links_, " to instance "},
+                                         {&store_links_, " to the store of instance "},
+                                         {&engine_links_, " to engine "}}};
+    while (!faults_over_) {
+        const choice& chosen = choices[draw(random, choices.size())];
+        const std::size_t number = draw(random, chosen.links->size());
+        const auto fault = static_cast<link_fault>(draw(random, link_faults));
+        links_.inject((*chosen.links)[number], fault, milliseconds(50 + draw(random, 400)));
+        note(to_text(fault) + std::string(chosen.name) + std::to_string(number));
+        std::this_thread::sleep_for(milliseconds(200 + draw(random, 2500)));
+        links_.mend((*chosen.links)[number]);
+        std::this_thread::sleep_for(milliseconds(draw(random, 800)));
+    }
+}
+
 void soak_run::heal()
 {
+    links_.mend_all();
     store_.set_mode_of_all(door_mode::open);
     faults_over_ = true;
 }
@@ -338,7 +375,7 @@
     const std::string withdrawn = "key-" + std::to_string(version_ - 2);
     for (std::size_t index = 0; index < options_.instances; ++index) {
         const auto status = [&](const std::string& key) {
-            return http::call(address(index, callers_port), "POST", "/resumable/x",
+            return http::call(caller_address(index), "POST", "/resumable/x",
                               {{"Host", host}, {"Authorization", "Bearer " + key}}, "p", seconds(6))
                 .head.status;
         };
@@ -367,6 +404,9 @@
     for (std::size_t caller = 0; caller < options_.callers; ++caller) {
         threads.emplace_back([this, caller] { call_all_day(caller); });
     }
+    if (options_.link_faults) {
+        threads.emplace_back([this] { inject_link_faults(); });
+    }
     std::thread submissions([this] { submit_all_day(); });
     inject_faults();
     heal();
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/daemon_process.hpp"
+#include "soak/faulty_links.hpp"
 #include "soak/history.hpp"
 #include "stand_ins/log_store.hpp"
 #include "stand_ins/model_engine.hpp"
@@ -23,6 +24,8 @@
     std::size_t instances = 4;
     std::size_t engines = 3;
     std::size_t callers = 6;
+    /// Whether links have faults, too.
+    bool link_faults = true;
     /// Program of the daemon.
     std::string daemon;
     /// Folder for settings and logs.
@@ -57,9 +60,13 @@
     bool read_results(std::size_t instance, const std::string& job, int items);
     void inject_faults();
     std::string inject_one(std::mt19937_64& random);
+    /// Injects faults of links, beside the others and overlapping with them.
+    void inject_link_faults();
     void heal();
     std::vector<std::string> check_recovery();
     std::string address(std::size_t instance, int port) const;
+    /// Address at which callers reach an instance, through a link.
+    std::string caller_address(std::size_t instance) const;
     std::string current_key() const;
     void note(const std::string& text);
 
@@ -67,6 +74,12 @@
     history history_;
     stand_ins::log_store store_{2};
     std::vector<std::size_t> doors_;
+    faulty_links links_;
+    /// Links from the callers to each instance, from each instance to the store, and to each
+    /// engine.
+    std::vector<std::size_t> caller_links_;
+    std::vector<std::size_t> store_links_;
+    std::vector<std::size_t> engine_links_;
     std::vector<std::unique_ptr<stand_ins::model_engine>> engines_;
     std::vector<std::unique_ptr<daemon_process>> daemons_;
     std::mutex daemons_mutex_;
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -157,10 +157,10 @@
     return running_;
 }
 
-std::string model_engine::entry(bool draining) const
+std::string model_engine::entry(bool draining, const std::string& reached_at) const
 {
     const boost::json::object entry{{"service", "lm"},
-                                    {"address", address()},
+                                    {"address", reached_at.empty() ? address() : reached_at},
                                     {"zone", "a"},
                                     {"slots", options_.slots},
                                     {"state", draining ? "draining" : "ready"},
--- a/stand_ins/model_engine.hpp
+++ b/stand_ins/model_engine.hpp
@@ -64,8 +64,8 @@
     /// Runs under way.
     std::size_t running() const;
 
-    /// Its entry in the store.
-    std::string entry(bool draining = false) const;
+    /// Its entry in the store, with the address at which it is reached if that is not its own.
+    std::string entry(bool draining = false, const std::string& reached_at = "") const;
 
     /// Body of a whole stream for this path.
     static std::string whole_stream(const std::string& path, std::uint32_t events);
--- a/stand_ins/proxy_route.hpp
+++ b/stand_ins/proxy_route.hpp
@@ -35,6 +35,9 @@
     /// Sets the mode for all connections, present and new.
     void set_mode(route_mode mode);
 
+    /// Mode in force.
+    route_mode mode() const { return mode_; }
+
     /// Delay of each piece of bytes, in both directions.
     void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
 
