edge: apply the operator's limits of what callers may send

Cause: the desired state's limits were decoded and not used. Callers with headers over 64 KiB, bodies over 16 MiB or pauses over 75 s were turned away although they kept to them, and smaller limits were not enforced. Change: http::server::set_limits; an instance applies the limits with each desired state, to the callers' listener and, for submissions that are handed on, to the internal one. A single field over 64 KiB, which Beast cannot keep, is answered with 431; it closed the connection. Measured: edge_node/applies_the_limits_of_the_desired_state and server/refuses_a_field_that_is_too_large failed before (connection lost, 431) and pass. The operator's time for a header is not applied: a whole request has 10 s.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -17,10 +17,15 @@
 /// Between two ticks: a request that became hopeless is refused within this time.
 constexpr milliseconds tick_interval{20};
 
-/// Callers' idle connections are kept a little longer than the desired state allows them to be
-/// idle, so that the caller closes first.
+/// Idle connections, until a desired state tells its limit.
 constexpr milliseconds caller_idle{75000};
 
+/// The operator's limit of headers does not include the start line.
+constexpr std::size_t start_line_max = 8U << 10U;
+
+/// Messages between instances, and callers' bodies until a desired state is known.
+constexpr std::size_t internal_body_limit = 16U << 20U;
+
 /// Three lines for each of some 200 requests in a second, which is more than an instance serves;
 /// what floods it beyond that is counted.
 constexpr std::uint32_t log_lines_per_second = 600;
@@ -220,7 +225,7 @@
     server.idle_timeout = caller_idle;
     server.answer_buffer = caller_answer_buffer;
     // A submission holds the encoded bodies of its items.
-    server.body_limit = 16U << 20U;
+    server.body_limit = internal_body_limit;
     server.header_limit = 64U << 10U;
     return std::make_unique<http::server>(*loop_, std::move(server), std::move(handlers));
 }
@@ -328,11 +333,28 @@
                     {"routes", std::to_string(state->routes.size())},
                     {"teams", std::to_string(state->teams.size())}});
     state_version_gauge_->set(static_cast<double>(state->version));
+    apply_limits(state->limits);
     fleet_->set_state(*state);
     desk_->set_state(*state);
     context_->routes = std::make_shared<const serving::route_table>(std::move(*state));
 }
 
+void edge_node::apply_limits(const serving::caller_limits& limits)
+{
+    if (limits.header_bytes == 0 || limits.body_bytes == 0 || limits.idle_timeout.count() == 0) {
+        return;
+    }
+    http::client_limits applied;
+    applied.header_limit = limits.header_bytes + start_line_max;
+    applied.body_limit = limits.body_bytes;
+    applied.idle_timeout = limits.idle_timeout;
+    callers_server_->set_limits(applied);
+    // Submissions are handed on to the partition's owner.
+    applied.body_limit = std::max(internal_body_limit, limits.body_bytes * 2);
+    applied.idle_timeout = caller_idle;
+    internal_server_->set_limits(applied);
+}
+
 void edge_node::fetch_state(const core::instance_id& from, std::uint64_t version)
 {
     state_follower_->hurry();
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -57,6 +57,7 @@
     void tick();
     void watch_store(core::time_point now);
     void take_state(const std::string& value, const char* source);
+    void apply_limits(const serving::caller_limits& limits);
     std::optional<serving::target_entry> read_target(const std::string& id,
                                                      const std::string& value) const;
     void take_target(const std::string& id, const std::string& value);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -208,6 +208,16 @@
     return result;
 }
 
+void server::set_limits(client_limits limits)
+{
+    assert(limits.header_limit > 0 && limits.body_limit > 0 && limits.idle_timeout.count() > 0);
+    loop_.post([core = core_, limits] {
+        core->settings.header_limit = limits.header_limit;
+        core->settings.body_limit = limits.body_limit;
+        core->settings.idle_timeout = limits.idle_timeout;
+    });
+}
+
 void server::announce_closing()
 {
     loop_.post([core = core_] { core->closing = true; });
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -91,6 +91,16 @@
     std::function<std::string()> make_request_id;
 };
 
+/// Limits of what clients may send, and how long they may stay idle.
+struct client_limits {
+    /// Start line and headers.
+    std::size_t header_limit = 0;
+    /// For bodies that are not read in pieces.
+    std::size_t body_limit = 0;
+    /// Time between two requests on one connection.
+    std::chrono::milliseconds idle_timeout{0};
+};
+
 /// What a server calls, on its loop's thread.
 struct server_handlers {
     /// Called for each request. An exception is answered with 500.
@@ -128,6 +138,9 @@
     /// Listens and returns the port, or the reason why not. Precondition: not called before.
     tl::expected<std::uint16_t, std::string> start();
 
+    /// Replaces the limits of the settings for the requests that follow. Precondition: none is 0.
+    void set_limits(client_limits limits);
+
     /// From now on answers carry `Connection: close`, so that clients connect elsewhere.
     void announce_closing();
 
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cassert>
 #include <exception>
+#include <stdexcept>
 #include <utility>
 
 namespace gooseberryfall::http {
@@ -209,7 +210,13 @@
     while (true) {
         if (buffer_.size() > 0) {
             error_code error;
-            buffer_.consume(parser.put(buffer_.data(), error));
+            try {
+                buffer_.consume(parser.put(buffer_.data(), error));
+            }
+            catch (const std::length_error&) {
+                // Beast keeps no field of more than 64 KiB, whatever the limit of the whole.
+                error = beast::http::error::header_limit;
+            }
             room_.notify();
             if (parser.is_header_done()) {
                 co_return std::nullopt;
--- a/src/http/server_session.hpp
+++ b/src/http/server_session.hpp
@@ -40,7 +40,7 @@
     void remove(server_session& session);
 
     boost::asio::io_context& context;
-    const server_settings settings;
+    server_settings settings;
     const server_handlers handlers;
     bool closing = false;
     bool draining = false;
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -31,10 +31,23 @@
     bool ended = false;
 };
 
+namespace {
+
+/// Engines take what the instances hand on; limits are theirs to keep.
+http::server_settings make_server_settings()
+{
+    http::server_settings settings;
+    settings.header_limit = 1U << 20U;
+    settings.body_limit = 64U << 20U;
+    return settings;
+}
+
+} // namespace
+
 model_engine::model_engine(engine_options options) : options_(std::move(options))
 {
     server_ = std::make_unique<http::server>(
-        loop_, http::server_settings{},
+        loop_, make_server_settings(),
         http::server_handlers{
             [this](const http::request& received, const std::shared_ptr<http::responder>& caller) {
                 handle(received, caller);
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -108,6 +108,11 @@
     const json::object state{{"version", version},
                              {"routes", {fixed, resumable, batch}},
                              {"services", json::array{json::object{{"name", "lm"}}}},
+                             {"limits",
+                              {{"max_header_bytes", options_.header_bytes},
+                               {"max_body_bytes", options_.body_bytes},
+                               {"header_timeout_ms", 3000},
+                               {"idle_timeout_ms", 15000}}},
                              {"tenants", json::array{team}}};
     store.put(names::state_topic, names::state_key, json::serialize(state));
 }
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -26,6 +26,9 @@
         std::chrono::milliseconds event_gap{5};
         double rate = 0;
         double burst = 0;
+        /// Limits of what callers may send.
+        std::size_t header_bytes = 16384;
+        std::size_t body_bytes = 4U << 20U;
     };
 
     explicit edge_deployment(options wanted);
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -78,6 +78,31 @@
     cr_assert(deployment.runs_of("r1").empty());
 }
 
+// Guards against callers that are turned away although they keep to the operator's limits, and
+// against requests beyond them that take memory.
+Test(edge_node, applies_the_limits_of_the_desired_state, .timeout = 60)
+{
+    constexpr std::size_t header_bytes = 100000;
+    constexpr std::size_t body_bytes = 20000000;
+    edge_deployment deployment(
+        {.instances = 1, .header_bytes = header_bytes, .body_bytes = body_bytes});
+    deployment.wait_until_serving();
+    const auto check = [&](std::size_t header, std::size_t body, unsigned expected) {
+        constexpr std::size_t field_bytes = 1000;
+        http::header_fields headers{{"Authorization", "Bearer key-a"}};
+        for (std::size_t sent = 0; sent < header; sent += field_bytes) {
+            headers.add("Note-" + std::to_string(sent), std::string(field_bytes, 'a'));
+        }
+        const unsigned got =
+            deployment.call(0, "POST", "/fixed/x", headers, std::string(body, 'b')).head.status;
+        cr_assert_eq(got, expected, "%u for %zu and %zu bytes", got, header, body);
+    };
+    check(header_bytes * 9 / 10, 10, 200);
+    check(10, body_bytes, 200);
+    check(2 * header_bytes, 10, 431);
+    check(10, body_bytes + 1, 413);
+}
+
 // Guards against requests beyond a team's rate that reach engines through several instances.
 Test(edge_node, keeps_a_rate_over_all_instances, .timeout = 60)
 {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -316,6 +316,19 @@
               !contains(answer, "Content-Length: 1\r\n"));
 }
 
+// Guards against a connection that is closed without an answer, because one field is larger than
+// the library can keep although the whole is within the limit.
+Test(server, refuses_a_field_that_is_too_large)
+{
+    http::server_settings settings;
+    settings.header_limit = 200000;
+    const fixture server(echo, settings);
+    const raw_connection client = server.connect();
+    client.send("GET / HTTP/1.1\r\nHost: a\r\nA: " + std::string(100000, 'a') + "\r\n\r\n");
+    const std::string answer = client.receive_all();
+    cr_assert(answer.starts_with("HTTP/1.1 431"), "%s", answer.substr(0, 100).c_str());
+}
+
 // Guards against an upload that is collected in memory, is cut off at the limit for whole bodies,
 // or is passed on as whole when the client went away in the middle.
 Test(server, reads_large_uploads_in_pieces_with_backpressure)
