serving, edge: delete batch jobs whose results need not be kept any more

Cause: nothing ever deleted a job. The store takes nothing once 400 MB are stored, an instance kept all jobs in memory and looked at all of them every 20 ms, and a takeover loaded them all. Ruled out: trimming the log. The newest record of each key stays for good there, so each key has to be dropped. The owner of a partition knows the keys of each job (fleet_wire::job_keys). 30 s after the time in which results have to be readable it writes that an ended job has ended, then drops its keys, those that tell of the job itself last: an owner that takes over between two appends runs nothing again. Jobs with items that are open, or with a reader that waits, stay. Measured: edge_node/deletes_jobs_whose_results_need_not_be_kept: 0 keys left after 4 s, before all were left; no item runs again after a restart. job_ledger and job_keys have tests of their own. Records that cannot be read, for example of a later version, are left alone.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -134,7 +134,7 @@
         << links_.address(store_links_[instance])
         << "\"\npartitions = 2\nrecord_bytes = 262144\ncall_bytes = 2097152\n"
            "membership_min_ms = 1000\n[bounds]\nstate_in_force_ms = 2000\n"
-           "limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\n"
+           "limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\nresults_kept_s = 3600\n"
            "directory_lifetime_max_s = 5\nleave_s = 8\n";
 }
 
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -104,6 +104,7 @@
             return;
         }
         for (keyed_record& record : result->records) {
+            loaded_keys_.push_back(record.key);
             reader_.add(record.key, std::move(record.value));
         }
         if (result->next) {
@@ -123,6 +124,9 @@
     writer_ = std::make_unique<job_writer>(store_, context_.loop, place_,
                                            log_writer{writer_name, epoch_, 0}, settings_.limits,
                                            [this] { lose("fenced by a newer owner"); });
+    for (const std::string& key : std::exchange(loaded_keys_, {})) {
+        writer_->note(key);
+    }
     context_.logger.write(kernel::log_level::info, "partition_owned",
                           {{"topic", place_.topic},
                            {"partition", std::to_string(place_.partition)},
@@ -350,6 +354,7 @@
     if (now - checked_at_ >= check_interval) {
         checked_at_ = now;
         give_up_items(now);
+        delete_jobs();
     }
     start_items(now);
     if (now - progress_written_at_ >= settings_.progress_interval) {
@@ -509,6 +514,34 @@
     }
 }
 
+void job_partition::delete_jobs()
+{
+    if (settings_.results_kept.count() == 0) {
+        return;
+    }
+    const milliseconds kept = settings_.results_kept + settings_.results_kept_margin;
+    const auto is_being_read = [this](const std::string& job) {
+        return std::ranges::any_of(readers_, [&](const auto& reader) { return reader.job == job; });
+    };
+    for (const std::string& job : ledger_.expired(wall_now() - kept)) {
+        if (is_being_read(job)) {
+            continue;
+        }
+        context_.logger.write(kernel::log_level::info, "job_deleted",
+                              {{"id", job},
+                               {"team", ledger_.team_of(job).value()},
+                               {"items", std::to_string(ledger_.item_count(job))},
+                               {"kept_ms", std::to_string(kept.count())}});
+        // Without this record an owner that takes over between two appends would run it again.
+        if (const std::optional<serving::job_record> record = ledger_.close(job)) {
+            writer_->write(*record, {});
+        }
+        writer_->drop(job);
+        ledger_.forget(job);
+        std::erase_if(run_times_, [&](const auto& entry) { return entry.first.job == job; });
+    }
+}
+
 void job_partition::release(const std::function<void()>& done)
 {
     releasing_ = true;
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -30,6 +30,12 @@
     /// A route that is missing from the desired state for so long has been removed: items of its
     /// jobs are given up.
     std::chrono::milliseconds route_missing_max{3000};
+    /// Time after its acceptance for which the results of a job can be read; a job that is open is
+    /// kept for longer. 0 keeps jobs for good.
+    std::chrono::milliseconds results_kept{0};
+    /// Added to `results_kept`: callers count from when they sent the job first, and clocks of
+    /// instances differ.
+    std::chrono::milliseconds results_kept_margin{30000};
     /// Output in one page of results.
     std::size_t page_bytes = 900U << 10U;
 };
@@ -97,6 +103,8 @@
     void finish_item(const serving::item_key& key, serving::result_state state,
                      const std::string& output);
     void give_up_items(core::time_point now);
+    /// Deletes the jobs whose results need not be kept any more.
+    void delete_jobs();
     std::uint32_t tokens_left(const serving::item_key& key) const;
 
     edge_context& context_;
@@ -107,6 +115,8 @@
     std::function<void()> on_lost_;
     serving::job_ledger ledger_;
     fleet_wire::job_record_reader reader_;
+    /// Keys that were read, until the writer has them.
+    std::vector<std::string> loaded_keys_;
     std::unique_ptr<job_writer> writer_;
     std::map<serving::item_key, std::shared_ptr<item_run>> runs_;
     /// Time that items have been generating, in all their runs.
--- a/src/edge/job_writer.cpp
+++ b/src/edge/job_writer.cpp
@@ -32,6 +32,24 @@
 }
 
 void job_writer::write(const serving::job_record& record, std::function<void(write_outcome)> done)
+{
+    std::vector<keyed_record> parts =
+        fleet_wire::encode(record, limits_.record_bytes - record_overhead);
+    for (const keyed_record& part : parts) {
+        keys_.add(part.key);
+    }
+    enqueue(std::move(parts), std::move(done));
+}
+
+void job_writer::drop(const std::string& job)
+{
+    std::vector<keyed_record> parts = keys_.drop(job);
+    if (!parts.empty()) {
+        enqueue(std::move(parts), {});
+    }
+}
+
+void job_writer::enqueue(std::vector<keyed_record> parts, std::function<void(write_outcome)> done)
 {
     if (fenced_) {
         if (done) {
@@ -39,8 +57,7 @@
         }
         return;
     }
-    queue_.push_back(
-        {fleet_wire::encode(record, limits_.record_bytes - record_overhead), std::move(done)});
+    queue_.push_back({std::move(parts), std::move(done)});
     pump();
 }
 
--- a/src/edge/job_writer.hpp
+++ b/src/edge/job_writer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/store.hpp"
+#include "fleet_wire/fleet_wire.hpp"
 #include "http/event_loop.hpp"
 #include "kernel/kernel.hpp"
 #include "serving/serving.hpp"
@@ -47,6 +48,13 @@
     /// Writes a record. `done` may be empty.
     void write(const serving::job_record& record, std::function<void(write_outcome)> done);
 
+    /// A record of this key is in the log already.
+    void note(const std::string& key) { keys_.add(key); }
+
+    /// Deletes all records of a job. Precondition: the job has ended, and the record that says so
+    /// was given to `write`, or read from the log.
+    void drop(const std::string& job);
+
     /// Records that are not known to be written.
     std::size_t pending() const { return queue_.size() + in_flight_.size(); }
 
@@ -56,6 +64,7 @@
         std::function<void(write_outcome)> done;
     };
 
+    void enqueue(std::vector<keyed_record> parts, std::function<void(write_outcome)> done);
     void pump();
     void send();
     void on_result(const store_result<std::uint64_t>& result);
@@ -66,6 +75,7 @@
     log_writer writer_;
     store_limits limits_;
     std::function<void()> on_fenced_;
+    fleet_wire::job_keys keys_;
     std::deque<entry> queue_;
     /// Entries whose last part is in the append under way.
     std::vector<entry> in_flight_;
--- a/src/fleet_wire/job_codec.cpp
+++ b/src/fleet_wire/job_codec.cpp
@@ -16,6 +16,12 @@
 constexpr std::size_t record_bytes_max = 16U << 20U;
 /// Stands between a key and the number of its part; no job id has it, since ids are header values.
 constexpr char part_mark = '\x01';
+
+/// First characters of keys, by kind of record.
+constexpr char opening_mark = 'j';
+constexpr char result_mark = 'r';
+constexpr char closing_mark = 'e';
+constexpr char progress_mark = 'p';
 /// Each part begins with the number of all parts as 4 digits.
 constexpr std::size_t count_digits = 4;
 
@@ -124,13 +130,13 @@
 std::string key_of(const serving::job_record& record)
 {
     return std::visit(core::visitors{
-                          [](const serving::job_opened& in) { return "j" + in.job.id; },
+                          [](const serving::job_opened& in) { return opening_mark + in.job.id; },
                           [](const serving::item_finished& in) {
-                              return "r" + in.job + '/' + std::to_string(in.position);
+                              return result_mark + in.job + '/' + std::to_string(in.position);
                           },
-                          [](const serving::job_closed& in) { return "e" + in.job; },
+                          [](const serving::job_closed& in) { return closing_mark + in.job; },
                           [](const serving::item_advanced& in) {
-                              return "p" + in.job + '/' + std::to_string(in.item);
+                              return progress_mark + in.job + '/' + std::to_string(in.item);
                           },
                       },
                       record);
@@ -167,6 +173,32 @@
     return parts;
 }
 
+std::string_view job_of_key(std::string_view key)
+{
+    const std::size_t end = key.rfind(part_mark);
+    if (end == std::string_view::npos || end == 0) {
+        return {};
+    }
+    const char kind = key.front();
+    const std::string_view name = key.substr(1, end - 1);
+    if (kind == opening_mark || kind == closing_mark) {
+        return name;
+    }
+    const std::size_t slash = name.rfind('/');
+    const bool of_item = kind == result_mark || kind == progress_mark;
+    return of_item && slash != std::string_view::npos ? name.substr(0, slash) : std::string_view();
+}
+
+bool is_opening_key(std::string_view key)
+{
+    return key.starts_with(opening_mark);
+}
+
+bool is_closing_key(std::string_view key)
+{
+    return key.starts_with(closing_mark);
+}
+
 void job_record_reader::add(const std::string& key, std::string value)
 {
     const std::size_t mark = key.rfind(part_mark);
--- a/src/fleet_wire/job_codec.hpp
+++ b/src/fleet_wire/job_codec.hpp
@@ -28,6 +28,16 @@
 /// record, so that a record is whole if it is there. Thread-safe.
 std::vector<keyed_record> encode(const serving::job_record& record, std::size_t value_max);
 
+/// Id of the job that a record with this key belongs to; empty if it is no key of a job's record.
+/// Valid as long as the key. Thread-safe.
+std::string_view job_of_key(std::string_view key);
+
+/// Whether a record with this key says that a job was accepted. Thread-safe.
+bool is_opening_key(std::string_view key);
+
+/// Whether a record with this key says that a job has ended. Thread-safe.
+bool is_closing_key(std::string_view key);
+
 /// Puts job records together again from keyed records in any order. Not thread-safe.
 class job_record_reader {
 public:
--- /dev/null
+++ b/src/fleet_wire/job_keys.cpp
@@ -0,0 +1,47 @@
+#include "fleet_wire/job_keys.hpp"
+
+#include <algorithm>
+
+namespace gooseberryfall::fleet_wire {
+
+void job_keys::add(const std::string& key)
+{
+    const std::string_view job = job_of_key(key);
+    if (job.empty()) {
+        return;
+    }
+    auto found = keys_.find(job);
+    if (found == keys_.end()) {
+        found = keys_.emplace(job, std::set<std::string>()).first;
+    }
+    found->second.insert(key);
+}
+
+std::vector<keyed_record> job_keys::drop(const std::string& job)
+{
+    std::vector<keyed_record> records;
+    const auto found = keys_.find(job);
+    if (found == keys_.end()) {
+        return records;
+    }
+    const auto rank = [](const std::string& key) {
+        return is_opening_key(key) ? 1 : is_closing_key(key) ? 2 : 0;
+    };
+    for (int turn = 0; turn <= 2; ++turn) {
+        for (const std::string& key : found->second) {
+            if (rank(key) == turn) {
+                records.push_back({key, {}});
+            }
+        }
+    }
+    keys_.erase(found);
+    return records;
+}
+
+std::size_t job_keys::count(const std::string& job) const
+{
+    const auto found = keys_.find(job);
+    return found == keys_.end() ? 0 : found->second.size();
+}
+
+} // namespace gooseberryfall::fleet_wire
--- a/src/serving/job_ledger.cpp
+++ b/src/serving/job_ledger.cpp
@@ -303,6 +303,24 @@
     return result;
 }
 
+std::vector<std::string> job_ledger::expired(core::wall_time limit) const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, job] : jobs_) {
+        const bool idle = job.closed || std::ranges::all_of(job.items, &item_entry::finished);
+        const bool written = job.confirmed == job.results.size();
+        if (!job.opening && job.accepted_at < limit && idle && written) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void job_ledger::forget(const std::string& job)
+{
+    jobs_.erase(job);
+}
+
 std::vector<item_key> job_ledger::open_item_keys() const
 {
     std::vector<item_key> keys;
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -200,6 +200,13 @@
     /// Id of an item. Precondition: the item exists.
     const std::string& item_id(const item_key& key) const { return item(key).id; }
 
+    /// Jobs that were accepted before `limit` and have ended: no item is left to be run, and no
+    /// result to be written.
+    std::vector<std::string> expired(core::wall_time limit) const;
+
+    /// Drops all that is known of a job. Precondition: it has ended.
+    void forget(const std::string& job);
+
     /// Items that are neither finished nor given up.
     std::size_t open_items() const;
 
--- a/stand_ins/log_store.cpp
+++ b/stand_ins/log_store.cpp
@@ -112,6 +112,12 @@
     }
 }
 
+std::size_t log_store::key_count(const std::string& topics) const
+{
+    const std::lock_guard lock(mutex_);
+    return state_.key_count(topics);
+}
+
 std::set<std::string> log_store::writer_names() const
 {
     const std::lock_guard lock(mutex_);
--- a/stand_ins/log_store.hpp
+++ b/stand_ins/log_store.hpp
@@ -44,6 +44,9 @@
     /// Writes a value of a key, as the operator and the targets do; an empty one drops the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Keys in all partitions of the topics whose names contain a text.
+    std::size_t key_count(const std::string& topics) const;
+
     /// Names of the writers that have set an epoch.
     std::set<std::string> writer_names() const;
 
--- a/stand_ins/log_store_state.cpp
+++ b/stand_ins/log_store_state.cpp
@@ -88,6 +88,15 @@
     return found == places_.end() ? 0 : found->second.first + found->second.records.size();
 }
 
+std::size_t log_store_state::key_count(const std::string& topics) const
+{
+    std::size_t count = 0;
+    for (const auto& [where, at] : places_) {
+        count += where.first.find(topics) == std::string::npos ? 0 : at.newest.size();
+    }
+    return count;
+}
+
 std::set<std::string> log_store_state::writer_names() const
 {
     std::set<std::string> names;
--- a/stand_ins/log_store_state.hpp
+++ b/stand_ins/log_store_state.hpp
@@ -54,6 +54,9 @@
 
     std::uint64_t end(const place& where) const;
 
+    /// Keys in all partitions of the topics whose names contain a text.
+    std::size_t key_count(const std::string& topics) const;
+
     /// Names of the writers that have set an epoch anywhere.
     std::set<std::string> writer_names() const;
 
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -45,6 +45,7 @@
 limit_window_s = 5
 limit_overage = 0.1
 limit_slack = 20
+results_kept_s = 120
 directory_lifetime_max_s = 5
 leave_s = 8
 )";
@@ -244,7 +245,7 @@
     cr_assert(first_problem("capacity = 0.5", "capacity = \"x\"") ==
               "edge.toml:4: instance.capacity: a number from 0.001 to 1024 is expected");
     cr_assert(first_problem("leave_s = 8", "leave_s = 8\nodd = 1") ==
-              "edge.toml:26: bounds.odd: is not a known setting");
+              "edge.toml:27: bounds.odd: is not a known setting");
     cr_assert(first_problem("address = \"127.0.0.1:5\"", "") ==
               "edge.toml: store.address: is missing");
 }
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -29,6 +29,8 @@
         /// Limits of what callers may send.
         std::size_t header_bytes = 16384;
         std::size_t body_bytes = 4U << 20U;
+        /// Time for which results are kept; 0 for good.
+        std::chrono::milliseconds results_kept{0};
     };
 
     explicit edge_deployment(options wanted);
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -451,3 +451,32 @@
     cr_assert_neq(body.find("dead_letter"), std::string::npos);
     cr_assert_eq(deployment.runs_of("job-0").size(), 3U);
 }
+
+// Guards against a store and instances that fill up with jobs nobody may read any more, and against
+// jobs that go too early or run again.
+Test(edge_node, deletes_jobs_whose_results_need_not_be_kept, .timeout = 60)
+{
+    edge_deployment deployment({.results_kept = milliseconds(4000)});
+    deployment.wait_until_serving();
+    cr_assert(eventually([&] { return deployment.store.key_count("jobs") == 0; }),
+              "the calls that wait for the instances leave nothing behind");
+    const auto submitted_at = std::chrono::steady_clock::now();
+    cr_assert(eventually([&] { return deployment.submit(0, "job", 3) == 202; }));
+    cr_assert(eventually([&] { return deployment.submit(1, "ended", 3) == 202; }));
+    cr_assert_eq(deployment.end_job(2, "ended"), 200U);
+    cr_assert_eq(result_count(deployment.all_results(1, "job", 3)), 3U);
+    cr_assert_gt(deployment.store.key_count("jobs"), 0U);
+    while (std::chrono::steady_clock::now() < submitted_at + milliseconds(3500)) {
+        cr_assert_eq(result_count(deployment.results(2, "job").body), 3U);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    cr_assert(eventually([&] { return deployment.store.key_count("jobs") == 0; }),
+              "%zu keys are left", deployment.store.key_count("jobs"));
+    cr_assert(eventually([&] { return deployment.results(0, "job").head.status == 404; }));
+    deployment.kill(0);
+    deployment.restart(0);
+    cr_assert(eventually([&] { return deployment.results(0, "job").head.status == 404; }));
+    for (int item = 0; item < 3; ++item) {
+        cr_assert_eq(deployment.runs_of("job-" + std::to_string(item)).size(), 1U);
+    }
+}
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <string>
 #include <variant>
 
@@ -154,3 +155,39 @@
     }
     cr_assert_eq(seen, 2);
 }
+
+// Guards against records of a deleted job that stay in the log, and against an order in which a job
+// that is deleted in part looks as if it had not ended.
+Test(job_keys, drop_all_records_of_a_job_and_its_end_last)
+{
+    fleet_wire::job_keys keys;
+    std::size_t count = 0;
+    serving::job_opened opened;
+    opened.job.id = "a/b";
+    opened.job.items.push_back({"i", "/p", {}, std::string(1000, 'x'), 10});
+    const std::vector<serving::job_record> records{
+        opened, serving::item_advanced{"a/b", 0, {3, std::string(500, 'y')}},
+        serving::item_finished{"a/b", 0, {0, serving::result_state::complete, "z"}},
+        serving::job_closed{"a/b"}};
+    for (const serving::job_record& record : records) {
+        for (const fleet_wire::keyed_record& part : fleet_wire::encode(record, 300)) {
+            keys.add(part.key);
+            cr_assert(fleet_wire::job_of_key(part.key) == "a/b");
+            ++count;
+        }
+    }
+    keys.add("no key of a job");
+    cr_assert_gt(count, 6U, "some records have several parts");
+    cr_assert_eq(keys.count("a/b"), count);
+    const std::vector<fleet_wire::keyed_record> dropped = keys.drop("a/b");
+    cr_assert_eq(dropped.size(), count);
+    cr_assert(std::ranges::all_of(dropped, [](const auto& each) { return each.value.empty(); }));
+    cr_assert(fleet_wire::is_closing_key(dropped.back().key));
+    const auto opening = std::ranges::find_if(
+        dropped, [](const auto& each) { return fleet_wire::is_opening_key(each.key); });
+    const auto after = std::ranges::find_if(opening, dropped.end(), [](const auto& each) {
+        return !fleet_wire::is_opening_key(each.key) && !fleet_wire::is_closing_key(each.key);
+    });
+    cr_assert(after == dropped.end(), "nothing follows the opening but the end");
+    cr_assert(keys.drop("a/b").empty());
+}
--- a/tests/serving/job_ledger_test.cpp
+++ b/tests/serving/job_ledger_test.cpp
@@ -162,3 +162,24 @@
     cr_assert_eq(ledger.record_failure({"j", 0}, true, start), 2U);
     cr_assert(ledger.runnable(objectives, 10, start + milliseconds(200)).empty());
 }
+
+// Guards against jobs that are deleted while they run or are too young, and against ended ones that
+// are kept for good.
+Test(job_ledger, only_old_jobs_that_have_ended_expire)
+{
+    job_ledger ledger;
+    open(ledger, job("open", 1));
+    open(ledger, job("ended", 1));
+    open(ledger, job("done", 1));
+    cr_assert(ledger.close("ended").has_value());
+    cr_assert(ledger.finish({"done", 0}, result_state::complete, "x").has_value());
+    const core::wall_time later = noon + milliseconds(1);
+    cr_assert(ledger.expired(noon).empty());
+    cr_assert(ledger.expired(later) == std::vector<std::string>{"ended"},
+              "the result of the other is not written");
+    ledger.confirm_finished("done", 0);
+    cr_assert(ledger.expired(later) == std::vector<std::string>({"done", "ended"}));
+    ledger.forget("done");
+    cr_assert_not(ledger.has("done"));
+    cr_assert(ledger.expired(later) == std::vector<std::string>{"ended"});
+}
