serving, edge: acknowledge a repeated end of a job only once it is written

Cause: a caller asks again for the end of a job while the first call's record waits for the store. The second call found the job closed and was acknowledged at once. When the partition's next owner took over before the record was written, it went on with the job. Change: the ledger knows whether the record of the end is written; until then each call writes it and waits for that. Measured: edge_node/a_repeated_end_is_acknowledged_once_written failed before and passes. job_ledger/a_closed_job_runs_nothing held the fault as rule: an end was taken for lasting before it was written; it now asks for the record until the end is confirmed, and for none after.

--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -306,7 +306,10 @@
         return;
     }
     context_.logger.write(kernel::log_level::info, "job_ended", {{"id", call.job}});
-    answer_once_written(*record, job_outcome::ended, done, [] {});
+    // A repeated call may find that the record is being written. It writes the record again, so
+    // that it is acknowledged after the first one.
+    answer_once_written(*record, job_outcome::ended, done,
+                        [this, job = call.job] { ledger_.confirm_closed(job); });
 }
 
 void job_partition::stop_runs_of(const std::string& job)
--- a/src/serving/job_ledger.cpp
+++ b/src/serving/job_ledger.cpp
@@ -54,6 +54,7 @@
     const auto on_closed = [&](const job_closed& closed) {
         if (job_entry* job = find_job(closed.job)) {
             job->closed = true;
+            job->close_written = true;
         }
     };
     const auto on_advanced = [&](item_advanced& advanced) {
@@ -129,11 +130,16 @@
 std::optional<job_record> job_ledger::close(const std::string& job)
 {
     job_entry& entry = jobs_.at(job);
-    if (entry.closed) {
-        return std::nullopt;
-    }
     entry.closed = true;
-    return job_closed{job};
+    return entry.close_written ? std::nullopt : std::optional<job_record>(job_closed{job});
+}
+
+void job_ledger::confirm_closed(const std::string& job)
+{
+    const auto found = jobs_.find(job);
+    if (found != jobs_.end()) {
+        found->second.close_written = true;
+    }
 }
 
 std::vector<runnable_item>
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -152,10 +152,13 @@
     /// Route of an accepted job; empty if there is none.
     std::string route_of(const std::string& job) const;
 
-    /// Ends a job. Returns the record to be written, or nothing if it has ended already.
+    /// Ends a job. Returns the record to be written, or nothing if it is written already.
     /// Precondition: the job is known.
     std::optional<job_record> close(const std::string& job);
 
+    /// The record of a job's end has been written.
+    void confirm_closed(const std::string& job);
+
     /// Items that may run now, the most urgent first, at most `limit`. `objective` is the time
     /// that a route's jobs have.
     std::vector<runnable_item>
@@ -239,6 +242,8 @@
         std::uint32_t confirmed = 0;
         bool opening = false;
         bool closed = false;
+        /// The record of its end is in the log.
+        bool close_written = false;
     };
 
     item_entry* find(const item_key& key);
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -480,3 +480,26 @@
         cr_assert_eq(deployment.runs_of("job-" + std::to_string(item)).size(), 1U);
     }
 }
+
+// Guards against an end that is acknowledged before its record is written, because it was asked for
+// twice: the next owner of the partition went on with the job (owners-in-turn, seed 832639057953).
+Test(edge_node, a_repeated_end_is_acknowledged_once_written, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 1, .events = 400, .event_gap = milliseconds(20)});
+    deployment.wait_until_serving();
+    cr_assert(eventually([&] { return deployment.submit(0, "job", 2) == 202; }));
+    deployment.store.set_mode_of_all(stand_ins::door_mode::busy);
+    cr_assert_neq(deployment.end_job(0, "job"), 200U);
+    cr_assert_neq(deployment.end_job(0, "job"), 200U, "the record is not written yet");
+    deployment.store.set_mode_of_all(stand_ins::door_mode::open);
+    cr_assert(eventually([&] { return deployment.end_job(0, "job") == 200; }));
+    deployment.kill(0);
+    deployment.restart(0);
+    const auto runs = [&] {
+        return deployment.runs_of("job-0").size() + deployment.runs_of("job-1").size();
+    };
+    const std::size_t before = runs();
+    cr_assert(eventually([&] { return deployment.results(0, "job").head.status == 200; }));
+    std::this_thread::sleep_for(seconds(2));
+    cr_assert_eq(runs(), before);
+}
--- a/tests/serving/job_ledger_test.cpp
+++ b/tests/serving/job_ledger_test.cpp
@@ -144,6 +144,8 @@
     job_ledger ledger;
     open(ledger, job("j", 2));
     cr_assert(ledger.close("j").has_value());
+    cr_assert(ledger.close("j").has_value(), "an end that is not written is not known to last");
+    ledger.confirm_closed("j");
     cr_assert_not(ledger.close("j").has_value(), "ending is idempotent");
     const std::map<std::string, milliseconds> objectives{{"notes", seconds(18)}};
     cr_assert(ledger.runnable(objectives, 10, start).empty());
