core, edge, fleet_wire: simplify what the last changes added

Change: shard_manager asks is_busy only about shards that drain; job_writer takes the keys that were loaded; one set of barred targets in choose_target; job_keys::drop sorts by rank.

--- a/bench/agreement_cost.cpp
+++ b/bench/agreement_cost.cpp
@@ -185,8 +185,9 @@
             const core::probe probe{1, state_.next_offset(), {}};
             members_.on_probe(sending.envelope.to, probe, state_.next_offset(), now_, out_);
         }
-        shards_.update(state_, freshness_, members_.serving(now_), members_.reachable(now_), {},
-                       now_);
+        shards_.update(
+            state_, freshness_, members_.serving(now_), members_.reachable(now_),
+            [](const core::shard_id&) { return false; }, now_);
         freshness_.is_current(now_);
     }
 
--- a/src/core/batch_runner.cpp
+++ b/src/core/batch_runner.cpp
@@ -598,15 +598,11 @@
     }
 }
 
-std::set<shard_id> batch_runner::busy_shards() const
+bool batch_runner::is_busy(const shard_id& shard) const
 {
-    std::set<shard_id> busy;
-    for (const auto& [partition, held] : partitions_) {
-        if (held->open_append || held->replay.has_open_work()) {
-            busy.insert({shard_kind::batch, partition});
-        }
-    }
-    return busy;
+    const auto found = partitions_.find(shard.index);
+    return shard.kind == shard_kind::batch && found != partitions_.end() &&
+           (found->second->open_append || found->second->replay.has_open_work());
 }
 
 std::vector<job_status> batch_runner::list_jobs() const
--- a/src/core/batch_runner.hpp
+++ b/src/core/batch_runner.hpp
@@ -60,8 +60,9 @@
     /// Items running.
     std::size_t running() const { return running_.size(); }
 
-    /// Held partitions with items that run, or results that have not been read back from the log.
-    std::set<shard_id> busy_shards() const;
+    /// Whether the shard is a held partition with items that run, or with results that have not
+    /// been read back from the log.
+    bool is_busy(const shard_id& shard) const;
 
     /// Partitions held, for status.
     std::vector<job_status> list_jobs() const;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -315,7 +315,8 @@
 {
     const shard_orders orders = parts_.shards.update(
         parts_.state, parts_.freshness, parts_.members.serving(parts_.event_time),
-        parts_.members.reachable(parts_.event_time), batch_.busy_shards(), parts_.event_time);
+        parts_.members.reachable(parts_.event_time),
+        [this](const shard_id& shard) { return batch_.is_busy(shard); }, parts_.event_time);
     awaiting_majority_ = orders.awaiting_majority;
     apply_orders(orders);
 }
--- a/src/core/node_parts.cpp
+++ b/src/core/node_parts.cpp
@@ -2,7 +2,6 @@
 
 #include "core/rendezvous.hpp"
 
-#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <cstring>
@@ -262,10 +261,9 @@
 
 std::set<target_id> node_parts::targets_to_avoid(const service_id& service, time_point now) const
 {
-    std::vector<instance_id> instances = members.serving(now);
-    std::sort(instances.begin(), instances.end());
-    std::vector<target_id> all = targets.targets_of(service);
-    std::sort(all.begin(), all.end());
+    // All instances see both lists in the same order.
+    const std::vector<instance_id> instances = members.serving(now);
+    const std::vector<target_id> all = targets.targets_of(service);
     std::set<target_id> avoided;
     const bool any_sound = targets.any_sound(service, now);
     for (std::size_t index = 0; index < all.size(); ++index) {
--- a/src/core/online_requests.cpp
+++ b/src/core/online_requests.cpp
@@ -29,6 +29,12 @@
     return method != "POST" && method != "PATCH";
 }
 
+std::set<target_id> joined(std::set<target_id> left, const std::set<target_id>& right)
+{
+    left.insert(right.begin(), right.end());
+    return left;
+}
+
 } // namespace
 
 online_requests::online_requests(node_parts& parts, make_room yield_batch)
@@ -274,10 +280,10 @@
 {
     // Targets where this instance sends nothing beside what it has sent already.
     std::set<target_id> taken = parts_.reserved_targets;
-    std::set<target_id> avoided;
+    std::set<target_id> barred = taken;
     if (state.marked) {
-        taken.insert(parts_.marked_targets.begin(), parts_.marked_targets.end());
-        avoided = parts_.targets_to_avoid(state.service, now);
+        taken = joined(std::move(taken), parts_.marked_targets);
+        barred = joined(taken, parts_.targets_to_avoid(state.service, now));
     }
     route_query query;
     query.service = state.service;
@@ -285,9 +291,7 @@
     query.request = id;
     query.alone = state.alone;
     query.failed_before = !state.failed_targets.empty();
-    query.exclude = state.failed_targets;
-    query.exclude.insert(taken.begin(), taken.end());
-    query.exclude.insert(avoided.begin(), avoided.end());
+    query.exclude = joined(barred, state.failed_targets);
     std::optional<target_id> chosen = parts_.targets.choose(query, now);
     const bool waited =
         state.marked_since && now >= *state.marked_since + parts_.settings.crashes.idle_wait;
@@ -298,9 +302,8 @@
         chosen = parts_.targets.choose(query, now);
     }
     if (!chosen && waited) {
-        avoided.clear();
-        query.exclude = state.failed_targets;
-        query.exclude.insert(taken.begin(), taken.end());
+        barred = taken;
+        query.exclude = joined(barred, state.failed_targets);
         chosen = parts_.targets.choose(query, now);
     }
     if (chosen || state.failed_targets.empty()) {
@@ -312,8 +315,7 @@
             return std::nullopt;
         }
     }
-    query.exclude = taken;
-    query.exclude.insert(avoided.begin(), avoided.end());
+    query.exclude = barred;
     return parts_.targets.choose(query, now);
 }
 
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -124,7 +124,7 @@
     /// Whether the target is leaving, by its own word or the list.
     bool leaving(const target_id& id) const;
 
-    /// Targets of a service.
+    /// Targets of a service. Sorted.
     std::vector<target_id> targets_of(const service_id& service) const;
 
     /// A target by name, or null. Valid until the next `set_fleet`.
--- a/src/core/shard_manager.cpp
+++ b/src/core/shard_manager.cpp
@@ -187,7 +187,7 @@
     const control_state& state;
     const currency& freshness;
     const std::vector<instance_id>& reachable;
-    const std::set<shard_id>& busy;
+    const busy_check& is_busy;
     time_point now;
     /// The log was read up to its head within the bound: what is ordered rests on the newest
     /// leases, and the append can succeed.
@@ -213,7 +213,7 @@
 shard_orders shard_manager::update(const control_state& state, const currency& freshness,
                                    const std::vector<instance_id>& serving,
                                    const std::vector<instance_id>& reachable,
-                                   const std::set<shard_id>& busy, time_point now)
+                                   const busy_check& is_busy, time_point now)
 {
     shard_orders orders;
     if (!state.complete()) {
@@ -223,7 +223,7 @@
     const auto self = state.members().find(settings_.self.instance);
     const bool is_member =
         self != state.members().end() && self->second.incarnation == settings_.self;
-    const situation seen{state, freshness, reachable, busy, now, log_current, is_member};
+    const situation seen{state, freshness, reachable, is_busy, now, log_current, is_member};
     last_change_ = last_change_.value_or(now);
     rank_candidates(serving);
     for (auto& [shard, entry] : machines_) {
@@ -474,7 +474,7 @@
         entry.draining_since.reset();
         return;
     }
-    if (!seen.busy.contains(entry.shard) && seen.log_current) {
+    if (seen.log_current && !seen.is_busy(entry.shard)) {
         entry.draining_since.reset();
         release(entry, seen.now, orders);
         last_change_ = seen.now;
--- a/src/core/shard_manager.hpp
+++ b/src/core/shard_manager.hpp
@@ -6,10 +6,10 @@
 #include "core/types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace gooseberryfall::core {
@@ -62,6 +62,9 @@
     bool awaiting_majority = false;
 };
 
+/// Whether a shard has open work.
+using busy_check = std::function<bool(const shard_id&)>;
+
 /// Decides which leases this instance claims, holds and gives up. The rendezvous hash over serving
 /// members says who should hold a shard. A lease machine (Boost.MSM) for each shard. Not
 /// thread-safe.
@@ -76,12 +79,12 @@
 
     /// The control state changed, or time has passed. `serving` are the members that should hold
     /// shards, `reachable` those that are not suspect; both sorted. Must be called after every
-    /// change of the control state before `held_epoch` is asked. `busy` are the shards with open
-    /// work, which is ended before they move for balance. Nothing is done while the state is
-    /// incomplete.
+    /// change of the control state before `held_epoch` is asked. `is_busy` tells whether a
+    /// shard has open work, which is ended before it moves for balance; asked only about shards
+    /// that are to move. Nothing is done while the state is incomplete.
     shard_orders update(const control_state& state, const currency& freshness,
                         const std::vector<instance_id>& serving,
-                        const std::vector<instance_id>& reachable, const std::set<shard_id>& busy,
+                        const std::vector<instance_id>& reachable, const busy_check& is_busy,
                         time_point now);
 
     /// From now on all shards are given up and none is claimed. A shard is given up once the log
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -104,7 +104,7 @@
             return;
         }
         for (keyed_record& record : result->records) {
-            loaded_keys_.push_back(record.key);
+            loaded_keys_.add(record.key);
             reader_.add(record.key, std::move(record.value));
         }
         if (result->next) {
@@ -121,12 +121,9 @@
         ledger_.load(std::move(record));
     }
     ledger_.finish_loading();
-    writer_ = std::make_unique<job_writer>(store_, context_.loop, place_,
-                                           log_writer{writer_name, epoch_, 0}, settings_.limits,
-                                           [this] { lose("fenced by a newer owner"); });
-    for (const std::string& key : std::exchange(loaded_keys_, {})) {
-        writer_->note(key);
-    }
+    writer_ = std::make_unique<job_writer>(
+        store_, context_.loop, place_, log_writer{writer_name, epoch_, 0}, settings_.limits,
+        std::move(loaded_keys_), [this] { lose("fenced by a newer owner"); });
     context_.logger.write(kernel::log_level::info, "partition_owned",
                           {{"topic", place_.topic},
                            {"partition", std::to_string(place_.partition)},
--- a/src/edge/job_writer.hpp
+++ b/src/edge/job_writer.hpp
@@ -36,9 +36,10 @@
 /// takes it once even if an earlier one is carried out late. For the loop's thread.
 class job_writer {
 public:
-    /// `on_fenced` is called once, when another writer has taken the partition.
+    /// `keys` are those of the records that are in the log. `on_fenced` is called once, when
+    /// another writer has taken the partition.
     job_writer(store& durable, http::event_loop& loop, log_place place, log_writer writer,
-               store_limits limits, std::function<void()> on_fenced);
+               store_limits limits, fleet_wire::job_keys keys, std::function<void()> on_fenced);
     ~job_writer();
     job_writer(const job_writer&) = delete;
     job_writer& operator=(const job_writer&) = delete;
@@ -48,9 +49,6 @@
     /// Writes a record. `done` may be empty.
     void write(const serving::job_record& record, std::function<void(write_outcome)> done);
 
-    /// A record of this key is in the log already.
-    void note(const std::string& key) { keys_.add(key); }
-
     /// Deletes all records of a job. Precondition: the job has ended, and the record that says so
     /// was given to `write`, or read from the log.
     void drop(const std::string& job);
--- a/src/fleet_wire/job_keys.cpp
+++ b/src/fleet_wire/job_keys.cpp
@@ -1,6 +1,7 @@
 #include "fleet_wire/job_keys.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberryfall::fleet_wire {
 
@@ -24,16 +25,13 @@
     if (found == keys_.end()) {
         return records;
     }
-    const auto rank = [](const std::string& key) {
-        return is_opening_key(key) ? 1 : is_closing_key(key) ? 2 : 0;
-    };
-    for (int turn = 0; turn <= 2; ++turn) {
-        for (const std::string& key : found->second) {
-            if (rank(key) == turn) {
-                records.push_back({key, {}});
-            }
-        }
+    for (const std::string& key : found->second) {
+        records.push_back({key, {}});
     }
+    const auto rank = [](const keyed_record& record) {
+        return std::pair(is_closing_key(record.key), is_opening_key(record.key));
+    };
+    std::ranges::stable_sort(records, {}, rank);
     keys_.erase(found);
     return records;
 }
--- a/tests/core/agreement_fleet.hpp
+++ b/tests/core/agreement_fleet.hpp
@@ -155,8 +155,9 @@
 
     void update(core::time_point now)
     {
-        const core::shard_orders orders =
-            shards.update(state, freshness, members.serving(now), members.reachable(now), {}, now);
+        const core::shard_orders orders = shards.update(
+            state, freshness, members.serving(now), members.reachable(now),
+            [](const core::shard_id&) { return false; }, now);
         awaiting_ = orders.awaiting_majority;
         if (!orders.claims.empty()) {
             append(core::lease_claim{self, orders.claims});
--- a/tests/core/shard_manager_test.cpp
+++ b/tests/core/shard_manager_test.cpp
@@ -23,6 +23,7 @@
     std::vector<core::instance_id> serving{self.instance};
     std::vector<core::instance_id> reachable{other.instance, self.instance, third.instance};
     std::set<core::shard_id> busy;
+    core::busy_check is_busy = [this](const core::shard_id& shard) { return busy.contains(shard); };
     std::uint64_t sequence = 0;
 
     scene()
@@ -65,7 +66,7 @@
         if (with_log) {
             freshness.log_answered(now, state.next_offset());
         }
-        return shards.update(state, freshness, serving, reachable, busy, now);
+        return shards.update(state, freshness, serving, reachable, is_busy, now);
     }
 
     void answer(const core::incarnation_id& from)
@@ -155,7 +156,7 @@
         test.now += milliseconds(100);
         freshness.log_answered(test.now, test.state.next_offset());
         freshness.member_answered(third.instance, test.now, test.state.next_offset());
-        return restarted.update(test.state, freshness, test.serving, test.reachable, test.busy,
+        return restarted.update(test.state, freshness, test.serving, test.reachable, test.is_busy,
                                 test.now);
     };
     update();
--- a/tests/serving/load_replay_test.cpp
+++ b/tests/serving/load_replay_test.cpp
@@ -313,8 +313,7 @@
             arrivals.push_back({milliseconds(second * 1000), work_kind::batch});
         }
     }
-    std::stable_sort(arrivals.begin(), arrivals.end(),
-                     [](const arrival& a, const arrival& b) { return a.at < b.at; });
+    std::ranges::stable_sort(arrivals, {}, &arrival::at);
     const tally scheduled = replay(10, arrivals).run(seconds(48));
     cr_assert_eq(static_cast<std::size_t>(scheduled.asked), online);
     cr_assert_gt(scheduled.share(), 0.95, "online %f", scheduled.share());
@@ -330,8 +329,7 @@
     for (int item = 0; item < 480; ++item) {
         arrivals.push_back({milliseconds(item * 2), work_kind::batch});
     }
-    std::stable_sort(arrivals.begin(), arrivals.end(),
-                     [](const arrival& a, const arrival& b) { return a.at < b.at; });
+    std::ranges::stable_sort(arrivals, {}, &arrival::at);
     const tally scheduled = replay(10, arrivals).run(seconds(30));
     // Some 60 of 80 slots for 18 s make 216 items of 5 s; equal turns would make none in time.
     cr_assert_geq(scheduled.items_on_time, 150, "items on time %d", scheduled.items_on_time);
@@ -348,8 +346,7 @@
     for (int item = 0; item < 60; ++item) {
         arrivals.push_back({milliseconds(item * 200), work_kind::batch});
     }
-    std::stable_sort(arrivals.begin(), arrivals.end(),
-                     [](const arrival& a, const arrival& b) { return a.at < b.at; });
+    std::ranges::stable_sort(arrivals, {}, &arrival::at);
     const tally scheduled = replay(10, arrivals).run(seconds(40));
     cr_assert_eq(static_cast<std::size_t>(scheduled.asked), online);
     cr_assert_leq(scheduled.wasted_runs, scheduled.items, "%d runs of %d items wasted, %d on time",
