fleet_wire: read what an instance reports as spent

Cause: decode() of a report left out the requests that an instance has sent in the window of the limits and whether it knows them all, so a new leader learnt nothing (limits_learnt complete=no always) and refused teams within their rate. Ruled out: the scheduler and the buckets; serving_team_limits_test passes them the counts directly. Change: both fields are decoded; messages_survive_the_wire checks them (failed before). Conclusion: a new leader fills its buckets by what was spent.

--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -207,6 +207,10 @@
                             run.getBatch() ? serving::work_kind::batch : serving::work_kind::online,
                             run.getSilent()});
     }
+    for (const auto entry : in.getSpent()) {
+        out.spent[core::team_id(text(entry.getTeam()))] = entry.getCount();
+    }
+    out.spent_is_complete = in.getSpentIsComplete();
     return out;
 }
 
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -81,9 +81,13 @@
     serving::instance_report report;
     report.store_age = milliseconds(70);
     report.runs = {{8, core::target_id("t"), serving::work_kind::batch, true}};
+    report.spent = {{core::team_id("studio"), 12}};
+    report.spent_is_complete = true;
     const auto told = round_trip(report);
     cr_assert(told.store_age == milliseconds(70));
     cr_assert(told.runs.front().silent);
+    cr_assert(told.spent == report.spent);
+    cr_assert(told.spent_is_complete);
 }
 
 // Guards against a process that ends because another version or another program sends to it.
