--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -145,19 +145,16 @@
                                    take_state(value, "store");
                                }
                            },
-                           [this](bool reachable) {
-                               logger_->write(reachable ? kernel::log_level::info
-                                                        : kernel::log_level::warning,
-                                              reachable ? "store_reached" : "store_lost", {});
+                           [this](const std::optional<store_error>& failure) {
+                               log_reachable("desired_state", failure);
                            }});
     target_follower_ = std::make_unique<log_follower>(
         *store_, translator_->target_place(),
         follower_callbacks{
             [this](const std::map<std::string, std::string>& all) { take_all_targets(all); },
             [this](const std::string& key, const std::string& value) { take_target(key, value); },
-            [this](bool reachable) {
-                reachable ? targets_.registry_regained(steady_clock::now())
-                          : targets_.registry_lost();
+            [this](const std::optional<store_error>& failure) {
+                log_reachable("target_list", failure);
             }});
     registry_ = std::make_unique<member_registry>(
         *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
@@ -298,21 +295,55 @@
 {
     state_follower_->tick(now, settings_.state_interval);
     const bool lone = !fleet_->has_leader();
-    if (fleet_->wants_targets()) {
-        target_follower_->tick(now, settings_.target_interval);
-    }
+    follow_targets(now);
     if (lone || fleet_->leads()) {
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
     const auto read_at = state_follower_->read_at();
     fleet_->set_store_read_at(read_at);
     if (read_at) {
+        targets_.watch().on_own_read(*read_at);
         store_age_gauge_->set(std::chrono::duration<double>(now - *read_at).count());
     }
+    if (const auto fleet_read_at = fleet_->fleet_read_at()) {
+        targets_.watch().on_fleet_read(*fleet_read_at);
+    }
     targets_.expire(now);
     publish_targets();
 }
 
+void edge_node::follow_targets(core::time_point now)
+{
+    const bool wanted = fleet_->wants_targets();
+    if (wanted && !follows_targets_) {
+        // What the leader told last is newer than what this instance has read before it paused.
+        targets_.adopt(fleet_->known_targets());
+        target_follower_->restart();
+    }
+    if (!wanted && follows_targets_) {
+        targets_.watch().pause_list();
+        targets_known_ = false;
+        targets_published_ = 0;
+    }
+    follows_targets_ = wanted;
+    if (!wanted) {
+        return;
+    }
+    target_follower_->tick(now, settings_.target_interval);
+    if (const auto list_read_at = target_follower_->read_at(); list_read_at && targets_known_) {
+        targets_.watch().on_list_read(*list_read_at);
+    }
+}
+
+void edge_node::log_reachable(const char* what, const std::optional<store_error>& failure)
+{
+    logger_->write(failure ? kernel::log_level::warning : kernel::log_level::info,
+                   failure ? "store_lost" : "store_reached",
+                   {{"reading", what},
+                    {"failure", failure ? to_text(failure->failure) : "none"},
+                    {"reason", failure ? failure->reason : std::string()}});
+}
+
 void edge_node::take_state(const std::string& value, const char* source)
 {
     auto state = translator_->decode_state(value);
@@ -435,17 +466,8 @@
 
 void edge_node::publish_targets()
 {
-    if (!fleet_->wants_targets()) {
-        if (targets_known_) {
-            // What another instance reads is newer by the time that this one leads.
-            targets_known_ = false;
-            target_follower_->restart();
-        }
-        targets_published_ = 0;
-        return;
-    }
     const std::uint64_t revision = targets_.revision();
-    if (targets_known_ && (revision != targets_published_)) {
+    if (follows_targets_ && targets_known_ && revision != targets_published_) {
         targets_published_ = revision;
         fleet_->set_targets(targets_.usable());
     }
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -63,6 +63,9 @@
     void take_target(const std::string& id, const std::string& value);
     void take_all_targets(const std::map<std::string, std::string>& all);
     void publish_targets();
+    /// Reads the list of targets while this instance has to.
+    void follow_targets(core::time_point now);
+    void log_reachable(const char* what, const std::optional<store_error>& failure);
     void fetch_state(const core::instance_id& from, std::uint64_t version);
     own_condition condition() const;
     bool ready() const;
@@ -101,6 +104,8 @@
     serving::target_directory targets_;
     std::string state_record_;
     bool fetching_state_ = false;
+    bool follows_targets_ = false;
+    /// The list was read since this instance follows it.
     bool targets_known_ = false;
     std::uint64_t targets_published_ = 0;
     std::uint64_t directory_turn_ = 0;
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using serving::peer_message;
+using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 /// Added to the share of the limits: members that are counted but long gone must not cost the
@@ -16,7 +17,13 @@
 constexpr double limit_share_allowance = 0.05;
 
 /// Changes are told at most this often, so that many at once make few messages.
-constexpr std::chrono::milliseconds change_interval{60};
+constexpr milliseconds change_interval{60};
+
+/// A new leader waits for this many reports of each instance before it tells of the fleet.
+constexpr int reports_before_updates = 2;
+
+/// Blocks in one datagram: some 8 kB, which links take without a queue.
+constexpr std::size_t update_blocks_max = 4;
 
 } // namespace
 
@@ -26,7 +33,8 @@
     : loop_(loop), logger_(logger), settings_(settings), callbacks_(std::move(callbacks)),
       socket_(loop, metrics),
       leadership_(std::move(self), settings.leadership, steady_clock::now()),
-      placement_(settings.scheduler), started_at_(steady_clock::now()),
+      placement_(settings.scheduler), roster_(leadership_.self().id, settings.roster),
+      started_at_(steady_clock::now()), report_interval_(settings.leadership.interval),
       leads_gauge_(metrics.add_gauge("fleet_leads", "1 if this instance places for all")),
       waiting_gauge_(metrics.add_gauge("fleet_requests_waiting", "Requests that wait for a slot")),
       running_gauge_(metrics.add_gauge("fleet_slots_used", "Slots in use, as the leader knows"))
@@ -54,35 +62,24 @@
 
 void fleet_service::set_targets(const std::vector<serving::target_entry>& targets)
 {
-    if (!wants_targets()) {
-        return;
+    if (wants_targets()) {
+        use_targets(targets);
     }
-    digest_changed_ = digest_changed_ || targets != targets_;
+}
+
+void fleet_service::use_targets(const std::vector<serving::target_entry>& targets)
+{
     targets_ = targets;
     placement_.set_targets(targets_);
+    if (leadership_.leads()) {
+        roster_.set_targets(targets_);
+    }
 }
 
 void fleet_service::set_members(const std::vector<serving::fleet_member>& members)
 {
-    for (auto& [id, state] : members_) {
-        state.registered = false;
-    }
-    for (const serving::fleet_member& member : members) {
-        member_state& state = members_[member.id];
-        if (state.heard_at == core::time_point()) {
-            state.heard_at = steady_clock::now();
-        }
-        state.registered = true;
-        state.member = member;
-    }
-    std::erase_if(members_, [](const auto& entry) {
-        return !entry.second.registered && !entry.second.alive;
-    });
-    std::vector<serving::fleet_member> known;
-    for (const auto& [id, state] : members_) {
-        known.push_back(state.member);
-    }
-    leadership_.set_members(known);
+    roster_.set_registered(members, steady_clock::now());
+    leadership_.set_members(members);
 }
 
 bool fleet_service::has_leader() const
@@ -90,40 +87,48 @@
     return leadership_.leads() || leadership_.leader(steady_clock::now()).has_value();
 }
 
+bool fleet_service::expects_leader() const
+{
+    const auto searched = leadership_.leaderless_for(steady_clock::now());
+    return !leadership_.leads() && searched < settings_.leader_wait;
+}
+
 std::size_t fleet_service::member_count() const
 {
-    return std::max<std::size_t>(1, members_.size());
+    return std::max(members_told_, roster_.others().size() + 1);
+}
+
+std::vector<serving::fleet_member> fleet_service::ready_members() const
+{
+    return roster_.ready();
 }
 
 double fleet_service::limit_share() const
 {
-    std::size_t living = 1;
-    std::size_t all = 1;
-    for (const auto& [id, state] : members_) {
-        if (id != leadership_.self().id) {
-            ++all;
-            living += state.alive ? 1 : 0;
-        }
-    }
-    return std::min(1.0,
-                    static_cast<double>(living) / static_cast<double>(all) + limit_share_allowance);
+    return std::min(1.0, roster_.living_share() + limit_share_allowance);
+}
+
+milliseconds fleet_service::store_age(core::time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now -
+                                                    store_read_at_.value_or(core::time_point()));
 }
 
-std::chrono::milliseconds fleet_service::store_age(core::time_point now) const
+bool fleet_service::is_fit(core::time_point now) const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - store_read_at_.value_or(core::time_point()));
+    return store_age(now) < settings_.store_silence;
 }
 
-bool fleet_service::others_know_more(core::time_point now) const
+void fleet_service::note_fleet_read(core::time_point at)
 {
-    const auto own = store_age(now);
-    return std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
-        const member_state& state = entry.second;
-        const bool other = entry.first != leadership_.self().id && state.alive;
-        return other && state.reported_at &&
-               state.store_age + (now - *state.reported_at) + settings_.store_lead < own;
-    });
+    fleet_read_at_ = std::max(fleet_read_at_.value_or(at), at);
+}
+
+bool fleet_service::others_know_more() const
+{
+    const auto others = roster_.others_read_at();
+    return others &&
+           *others > store_read_at_.value_or(core::time_point()) + settings_.store_lead;
 }
 
 void fleet_service::send(const core::instance_id& to, const peer_message& message)
@@ -205,10 +210,16 @@
                        }
                    },
                    [&](const serving::instance_report& report) {
-                       take_report(from, report, now);
+                       if (leads) {
+                           take_report(from, report, now);
+                           send_update(from, now);
+                       }
                        check_version(from, report.state_version);
                    },
                    [&](const serving::fleet_digest& digest) { on_digest(digest); },
+                   [&](serving::fleet_update& update) { on_update(std::move(update)); },
+                   [&](const serving::leader_question& question) { on_question(from, question); },
+                   [&](const serving::leader_hint& hint) { on_hint(hint); },
                    [&](const auto& work) { callbacks_.on_work_message(work); },
                },
                message);
@@ -217,24 +228,9 @@
 void fleet_service::take_report(const core::instance_id& from,
                                 const serving::instance_report& report, core::time_point now)
 {
-    member_state& state = members_[from];
-    const bool changed = !state.alive || state.ready != report.ready ||
-                         state.leaving != report.leaving || state.partitions != report.partitions;
-    digest_changed_ = digest_changed_ || changed;
-    state.member = report.self;
-    state.ready = report.ready;
-    state.leaving = report.leaving;
-    state.store_age = report.store_age;
-    state.reported_at = now;
-    state.spent = report.spent;
-    state.spent_is_complete = report.spent_is_complete;
-    state.partitions = report.partitions;
-    state.heard_at = now;
-    state.alive = true;
-    state.forgotten = false;
-    if (leadership_.leads()) {
-        deliver(placement_.on_report(from, report.runs, now));
-    }
+    roster_.take_report(from, report, now);
+    note_fleet_read(now - report.store_age);
+    deliver(placement_.on_report(from, report.runs, now));
 }
 
 void fleet_service::check_version(const core::instance_id& of, std::uint64_t version)
@@ -247,44 +243,68 @@
 void fleet_service::on_digest(const serving::fleet_digest& digest)
 {
     const core::time_point now = steady_clock::now();
-    leadership_.on_digest(digest.leader, digest.resigning, now);
+    leadership_.on_digest(digest.leader, digest.resigning, digest.interval, now);
     if (digest.resigning || leadership_.leads() ||
         leadership_.leader(now) != std::optional(digest.leader.id)) {
         return;
     }
+    report_interval_ = std::max(digest.interval, settings_.leadership.interval);
+    members_told_ = digest.members;
+    note_fleet_read(now - digest.store_age);
     check_version(digest.leader.id, digest.state_version);
-    if (digest.members.empty()) {
+}
+
+void fleet_service::on_update(serving::fleet_update update)
+{
+    const core::time_point now = steady_clock::now();
+    if (leadership_.leader(now) != std::optional(update.leader)) {
         return;
     }
-    for (auto& [id, state] : members_) {
-        state.alive = false;
+    for (serving::fleet_block& block : update.blocks) {
+        view_.apply(std::move(block));
     }
-    for (const serving::digest_member& entry : digest.members) {
-        member_state& state = members_[entry.member.id];
-        state.member = entry.member;
-        state.ready = entry.ready;
-        state.partitions = entry.partitions;
-        state.heard_at = now;
-        state.alive = true;
+    roster_.adopt(view_, now);
+    use_targets(view_.targets());
+    report_hurried_ = true;
+}
+
+void fleet_service::on_question(const core::instance_id& from,
+                                const serving::leader_question& question)
+{
+    const core::time_point now = steady_clock::now();
+    if (leadership_.leads()) {
+        socket_.send(from, make_digest(now));
+        return;
     }
-    targets_ = digest.targets;
-    placement_.set_targets(targets_);
+    if (const auto leader = leadership_.leader_to_tell(now)) {
+        socket_.send(from, serving::leader_hint{*leader});
+        return;
+    }
+    leadership_.on_candidate(question.from, question.fit, now);
+}
+
+void fleet_service::on_hint(const serving::leader_hint& hint)
+{
+    const core::time_point now = steady_clock::now();
+    if (leadership_.leads() || leadership_.leader(now)) {
+        return;
+    }
+    leadership_.on_hint(now);
+    socket_.send(hint.leader.id, serving::leader_question{leadership_.self(), is_fit(now)});
 }
 
 void fleet_service::begin_leading(core::time_point now)
 {
     placement_.restart(settings_.tolerance, now);
     learns_until_ = now + settings_.learning_time;
-    placement_.set_targets(targets_);
-    digest_changed_ = true;
-    sent_at_ = {};
-    for (auto& [id, state] : members_) {
-        // Each has the usual time to report before it counts as silent.
-        state.heard_at = now;
-        state.reported_at.reset();
+    updates_from_ = now + leadership_.interval() * reports_before_updates;
+    roster_.begin(now);
+    if (!targets_.empty()) {
+        use_targets(targets_);
     }
+    sent_at_ = {};
     logger_.write(kernel::log_level::info, "leadership_begun",
-                  {{"members", std::to_string(members_.size())},
+                  {{"members", std::to_string(roster_.others().size() + 1)},
                    {"targets", std::to_string(targets_.size())}});
 }
 
@@ -294,58 +314,34 @@
         return;
     }
     learns_until_.reset();
-    serving::team_counts spent = callbacks_.condition().spent;
-    bool complete = now - started_at_ >= settings_.tolerance.window;
-    std::size_t heard = 1;
-    for (const auto& [id, state] : members_) {
-        if (id == leadership_.self().id || !state.reported_at) {
-            continue;
-        }
-        ++heard;
-        complete = complete && state.spent_is_complete;
-        for (const auto& [team, count] : state.spent) {
-            spent[team] += count;
-        }
-    }
-    // One that died with its counts, such as the leader before, has sent a small part of all.
-    complete = complete && heard * 2 > members_.size();
-    placement_.learn_spending(spent, complete, settings_.tolerance, now);
+    const serving::spending spent = roster_.spent(callbacks_.condition().spent,
+                                                  now - started_at_ >= settings_.tolerance.window);
+    placement_.learn_spending(spent.spent, spent.complete, settings_.tolerance, now);
     logger_.write(kernel::log_level::info, "limits_learnt",
-                  {{"instances", std::to_string(heard)}, {"complete", complete ? "yes" : "no"}});
+                  {{"instances", std::to_string(spent.instances)},
+                   {"complete", spent.complete ? "yes" : "no"}});
 }
 
 void fleet_service::check_members(core::time_point now)
 {
-    std::vector<core::instance_id> gone;
-    for (auto& [id, state] : members_) {
-        if (id == leadership_.self().id) {
-            continue;
-        }
-        const auto silence = now - state.heard_at;
-        if (state.alive && silence > settings_.member_silence) {
-            state.alive = false;
-            digest_changed_ = true;
-            logger_.write(kernel::log_level::warning, "instance_silent",
-                          {{"instance", state.member.name}, {"address", id.value()}});
-        }
-        if (!state.alive && !state.forgotten) {
-            state.forgotten = true;
-            deliver(placement_.forget_instance(id, now));
-        }
-        if (silence > settings_.member_lifetime) {
-            gone.push_back(id);
-        }
+    const auto departures = roster_.check_silence(leadership_.interval(), now);
+    for (const serving::fleet_member& member : departures.silent) {
+        logger_.write(kernel::log_level::warning, "instance_silent",
+                      {{"instance", member.name}, {"address", member.id.value()}});
+        deliver(placement_.forget_instance(member.id, now));
     }
-    for (const core::instance_id& id : gone) {
-        callbacks_.on_member_gone(members_.at(id).member);
-        members_.erase(id);
-        digest_changed_ = true;
+    for (const serving::fleet_member& member : departures.gone) {
+        callbacks_.on_member_gone(member);
     }
 }
 
-void fleet_service::tick(core::time_point now)
+void fleet_service::update_leadership(core::time_point now)
 {
-    leadership_.tick(now, store_age(now) < settings_.store_silence, others_know_more(now));
+    const bool fit = is_fit(now);
+    leadership_.tick(now, fit, leadership_.leads() && others_know_more());
+    for (const core::instance_id& asked : leadership_.take_questions(now)) {
+        socket_.send(asked, serving::leader_question{leadership_.self(), fit});
+    }
     const bool leads = leadership_.leads();
     if (leads && !led_before_) {
         begin_leading(now);
@@ -361,28 +357,52 @@
     const auto leader = leadership_.leader(now);
     if (leader != followed_) {
         followed_ = leader;
+        report_hurried_ = true;
         logger_.write(kernel::log_level::info, "leader_changed",
                       {{"leader", leader ? leader->value() : std::string()}});
     }
-    const bool due = now - sent_at_ >= settings_.interval;
-    if (leads) {
-        check_members(now);
-        learn_spending(now);
-        placement_.set_limit_share(limit_share(), now);
-        deliver(placement_.tick(now));
-        if (due) {
-            take_report(leadership_.self().id, make_report(now), now);
-        }
-        if (due || (digest_changed_ && now - sent_at_ >= change_interval)) {
-            send_digest(false, now);
-        }
-        const serving::scheduler_state state = placement_.slots().state();
-        waiting_gauge_.set(static_cast<double>(state.online_waiting + state.batch_waiting));
-        running_gauge_.set(static_cast<double>(state.online_running + state.batch_running));
+}
+
+void fleet_service::tick(core::time_point now)
+{
+    if (store_read_at_) {
+        note_fleet_read(*store_read_at_);
     }
-    else if (due && leader) {
+    update_leadership(now);
+    if (leadership_.leads()) {
+        lead(now);
+    }
+    else if (const auto leader = leadership_.leader(now)) {
+        follow(*leader, now);
+    }
+}
+
+void fleet_service::lead(core::time_point now)
+{
+    const bool due = now - sent_at_ >= leadership_.interval();
+    if (due || report_hurried_) {
+        report_hurried_ = false;
+        take_report(leadership_.self().id, make_report(now), now);
+    }
+    check_members(now);
+    learn_spending(now);
+    placement_.set_limit_share(limit_share(), now);
+    deliver(placement_.tick(now));
+    if (due) {
+        send_digest(false, now);
+    }
+    send_updates(now);
+    const serving::scheduler_state state = placement_.slots().state();
+    waiting_gauge_.set(static_cast<double>(state.online_waiting + state.batch_waiting));
+    running_gauge_.set(static_cast<double>(state.online_running + state.batch_running));
+}
+
+void fleet_service::follow(const core::instance_id& leader, core::time_point now)
+{
+    if (report_hurried_ || now - sent_at_ >= report_interval_) {
+        report_hurried_ = false;
         sent_at_ = now;
-        socket_.send(*leader, make_report(now));
+        socket_.send(leader, make_report(now));
     }
 }
 
@@ -399,67 +419,61 @@
     report.runs = std::move(own.runs);
     report.spent = std::move(own.spent);
     report.spent_is_complete = now - started_at_ >= settings_.tolerance.window;
+    report.held_blocks = view_.marks();
     return report;
 }
 
-serving::fleet_digest fleet_service::make_digest(bool full) const
+serving::fleet_digest fleet_service::make_digest(core::time_point now) const
 {
     serving::fleet_digest digest;
     digest.leader = leadership_.self();
+    digest.interval = leadership_.interval();
     digest.state_version = state_version_;
-    if (!full) {
-        return digest;
-    }
-    for (const auto& [id, state] : members_) {
-        if (state.alive) {
-            digest.members.push_back(
-                {state.member, state.ready && !state.leaving, state.partitions});
-        }
-    }
-    digest.targets = targets_;
+    digest.store_age = std::chrono::duration_cast<milliseconds>(
+        now - fleet_read_at_.value_or(core::time_point()));
+    digest.members = static_cast<std::uint32_t>(roster_.living());
     return digest;
 }
 
 void fleet_service::send_digest(bool resigning, core::time_point now)
 {
-    const bool full = digest_changed_ || now - full_sent_at_ >= settings_.full_interval;
-    serving::fleet_digest digest = make_digest(full && !resigning);
+    serving::fleet_digest digest = make_digest(now);
     digest.resigning = resigning;
     sent_at_ = now;
-    if (full) {
-        full_sent_at_ = now;
-        digest_changed_ = false;
-    }
-    for (const auto& [id, state] : members_) {
-        if (id != leadership_.self().id) {
-            socket_.send(id, digest);
-        }
+    for (const core::instance_id& id : roster_.others()) {
+        socket_.send(id, digest);
     }
 }
 
-std::vector<serving::fleet_member> fleet_service::ready_members() const
+void fleet_service::send_updates(core::time_point now)
 {
-    std::vector<serving::fleet_member> result;
-    for (const auto& [id, state] : members_) {
-        if (state.alive && state.ready && !state.leaving) {
-            result.push_back(state.member);
-        }
+    const bool changed = roster_.revision() != updates_revision_;
+    if (!changed || now < updates_from_ || now - updates_sent_at_ < change_interval) {
+        return;
+    }
+    updates_revision_ = roster_.revision();
+    updates_sent_at_ = now;
+    for (const core::instance_id& id : roster_.others()) {
+        send_update(id, now);
     }
-    return result;
 }
 
-std::optional<fleet_service::partition_owner> fleet_service::owner_of(std::uint32_t partition) const
+void fleet_service::send_update(const core::instance_id& to, core::time_point now)
 {
-    std::optional<partition_owner> owner;
-    for (const auto& [id, state] : members_) {
-        for (const serving::owned_partition& owned : state.partitions) {
-            const bool newer = !owner || owned.epoch > owner->epoch;
-            if (state.alive && owned.number == partition && newer) {
-                owner = partition_owner{id, owned.epoch};
-            }
+    if (now < updates_from_ || !roster_.has_reported(to)) {
+        return;
+    }
+    serving::fleet_update update{leadership_.self().id, {}};
+    for (const serving::fleet_block* block : roster_.take_missing(to, now)) {
+        update.blocks.push_back(*block);
+        if (update.blocks.size() == update_blocks_max) {
+            socket_.send(to, update);
+            update.blocks.clear();
         }
     }
-    return owner;
+    if (!update.blocks.empty()) {
+        socket_.send(to, update);
+    }
 }
 
 void fleet_service::leave()
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -17,25 +17,20 @@
 
 /// Settings of `fleet_service`.
 struct fleet_settings {
-    /// Between two reports to the leader, and between two words of the leader to all.
-    std::chrono::milliseconds interval{200};
-    /// The leader's word carries the members and targets when they have changed, and at least this
-    /// often.
-    std::chrono::milliseconds full_interval{2000};
-    /// An instance whose reports stay away for this long is not named to callers any more.
-    std::chrono::milliseconds member_silence{800};
-    /// An instance that has not heard from the store for so long does not take the lead before
-    /// others.
+    /// An instance that has not heard from the store for so long is no fit leader.
     std::chrono::milliseconds store_silence{1300};
     /// A leader gives way to an instance that has heard from the store so much later. More than the
     /// interval of the reads: while the store is away for all, ages differ by less.
     std::chrono::milliseconds store_lead{900};
-    /// An instance whose reports stay away for this long has gone for good.
-    std::chrono::milliseconds member_lifetime{30000};
-    /// Time in which a new leader gathers what the instances have spent of the limits: two reports.
-    std::chrono::milliseconds learning_time{450};
+    /// Time in which a new leader gathers what the instances have spent of the limits. They report
+    /// as soon as they hear it.
+    std::chrono::milliseconds learning_time{250};
+    /// Time without a leader for which work waits for one before it is placed here, and after which
+    /// this instance reads the list of targets itself. A search ends sooner in most cases.
+    std::chrono::milliseconds leader_wait{200};
     serving::limit_tolerance tolerance;
     serving::leadership_settings leadership;
+    serving::roster_settings roster;
     serving::scheduler_settings scheduler;
 };
 
@@ -86,9 +81,16 @@
     /// All instances that are registered.
     void set_members(const std::vector<serving::fleet_member>& members);
 
-    /// When the newest answer of the store was asked for; unset if there has been none.
+    /// When the newest answer of the store to this instance was asked for; unset if there has been
+    /// none.
     void set_store_read_at(std::optional<core::time_point> at) { store_read_at_ = at; }
 
+    /// When any instance has read the store, as far as known.
+    std::optional<core::time_point> fleet_read_at() const { return fleet_read_at_; }
+
+    /// The next report is sent at once: what this instance tells about itself has changed.
+    void hurry_report() { report_hurried_ = true; }
+
     /// Gives a message to whoever leads. False if nobody is known to.
     bool tell_leader(const serving::peer_message& message);
 
@@ -99,18 +101,20 @@
     bool leads() const { return leadership_.leads(); }
     bool has_leader() const;
 
+    /// Whether a leader is likely to be found in a moment.
+    bool expects_leader() const;
+
     /// Whether the store's list of targets has to be read by this instance.
-    bool wants_targets() const { return leads() || !has_leader(); }
+    bool wants_targets() const { return leads() || (!has_leader() && !expects_leader()); }
 
     /// Instances that live and take callers, as far as known.
     std::vector<serving::fleet_member> ready_members() const;
 
-    /// A job partition's owner, as far as known: of several, the one with the highest epoch.
-    struct partition_owner {
-        core::instance_id instance;
-        std::uint64_t epoch = 0;
-    };
-    std::optional<partition_owner> owner_of(std::uint32_t partition) const;
+    /// A job partition's owner, as far as known, or null.
+    const serving::partition_owner* owner_of(std::uint32_t partition) const
+    {
+        return roster_.owner_of(partition);
+    }
 
     /// Targets for placing without the leader.
     const std::vector<serving::target_entry>& known_targets() const { return targets_; }
@@ -125,39 +129,34 @@
     void stop();
 
 private:
-    struct member_state {
-        serving::fleet_member member;
-        bool registered = false;
-        bool ready = false;
-        bool leaving = false;
-        /// Age of what it has read from the store, as of `reported_at`.
-        std::chrono::milliseconds store_age{0};
-        /// Its last report to this instance; unset if there was none since this one leads.
-        std::optional<core::time_point> reported_at;
-        serving::team_counts spent;
-        bool spent_is_complete = false;
-        core::time_point heard_at{};
-        bool alive = false;
-        bool forgotten = true;
-        std::vector<serving::owned_partition> partitions;
-    };
-
     void on_message(const core::instance_id& from, serving::peer_message message);
     void take_report(const core::instance_id& from, const serving::instance_report& report,
                      core::time_point now);
     void check_version(const core::instance_id& of, std::uint64_t version);
     void on_digest(const serving::fleet_digest& digest);
+    void on_update(serving::fleet_update update);
+    void on_question(const core::instance_id& from, const serving::leader_question& question);
+    void on_hint(const serving::leader_hint& hint);
     void deliver(const std::vector<serving::addressed_message>& messages);
     void log_denial(const core::instance_id& to, const serving::peer_message& message);
+    void update_leadership(core::time_point now);
     void begin_leading(core::time_point now);
+    void lead(core::time_point now);
+    void follow(const core::instance_id& leader, core::time_point now);
     void learn_spending(core::time_point now);
     void check_members(core::time_point now);
+    void use_targets(const std::vector<serving::target_entry>& targets);
     serving::instance_report make_report(core::time_point now) const;
+    serving::fleet_digest make_digest(core::time_point now) const;
     void send_digest(bool resigning, core::time_point now);
-    serving::fleet_digest make_digest(bool full) const;
+    void send_updates(core::time_point now);
+    void send_update(const core::instance_id& to, core::time_point now);
     double limit_share() const;
+    void note_fleet_read(core::time_point at);
     std::chrono::milliseconds store_age(core::time_point now) const;
-    bool others_know_more(core::time_point now) const;
+    /// Whether this instance can read the store.
+    bool is_fit(core::time_point now) const;
+    bool others_know_more() const;
 
     http::event_loop& loop_;
     kernel::logger& logger_;
@@ -166,18 +165,27 @@
     peer_socket socket_;
     serving::leadership leadership_;
     serving::fleet_placement placement_;
-    std::map<core::instance_id, member_state> members_;
+    serving::fleet_roster roster_;
+    /// What the leader has told, while another instance leads.
+    serving::fleet_view view_;
     std::vector<serving::target_entry> targets_;
     std::uint64_t state_version_ = 0;
     std::optional<core::time_point> store_read_at_;
+    std::optional<core::time_point> fleet_read_at_;
     bool led_before_ = false;
     core::time_point started_at_;
     /// While this instance leads and has not learnt yet what was spent.
     std::optional<core::time_point> learns_until_;
+    /// A new leader tells of the fleet only once the instances have had time to report.
+    core::time_point updates_from_{};
+    core::time_point updates_sent_at_{};
+    std::uint64_t updates_revision_ = 0;
     std::optional<core::instance_id> followed_;
+    std::chrono::milliseconds report_interval_{0};
+    /// Living instances, as the leader counts them.
+    std::size_t members_told_ = 0;
     core::time_point sent_at_{};
-    core::time_point full_sent_at_{};
-    bool digest_changed_ = true;
+    bool report_hurried_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     kernel::gauge& leads_gauge_;
     kernel::gauge& waiting_gauge_;
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -130,6 +130,7 @@
                            {"epoch", std::to_string(epoch_)},
                            {"open_items", std::to_string(ledger_.open_items())},
                            {"unreadable", std::to_string(reader_.unreadable())}});
+    context_.fleet.hurry_report();
     for (const auto& call : std::exchange(when_active_, {})) {
         call();
     }
--- a/src/edge/log_follower.cpp
+++ b/src/edge/log_follower.cpp
@@ -104,11 +104,10 @@
 
 void log_follower::on_failure(const store_error& error)
 {
-    (void)error;
     busy_ = false;
     if (reachable_ != std::optional(false)) {
         reachable_ = false;
-        callbacks_.on_reachable(false);
+        callbacks_.on_reachable(error);
     }
 }
 
@@ -118,7 +117,7 @@
     read_at_ = sent;
     if (reachable_ != std::optional(true)) {
         reachable_ = true;
-        callbacks_.on_reachable(true);
+        callbacks_.on_reachable(std::nullopt);
     }
 }
 
--- a/src/edge/log_follower.hpp
+++ b/src/edge/log_follower.hpp
@@ -18,8 +18,8 @@
     std::function<void(const std::map<std::string, std::string>&)> on_all;
     /// A key has a new value; an empty one means that the key was dropped.
     std::function<void(const std::string& key, const std::string& value)> on_change;
-    /// The store does not answer, or does again.
-    std::function<void(bool reachable)> on_reachable;
+    /// A read has failed after one that succeeded, or succeeds again; unset if it succeeds.
+    std::function<void(const std::optional<store_error>& failure)> on_reachable;
 };
 
 /// Keeps up with a partition that holds the newest record of each key, by reading it at an
--- a/src/edge/member_registry.cpp
+++ b/src/edge/member_registry.cpp
@@ -41,7 +41,11 @@
                      take(key, value);
                      tell();
                  },
-                 [](bool) {}})
+                 [this](const std::optional<store_error>& failure) {
+                     logger_.write(failure ? kernel::log_level::warning : kernel::log_level::info,
+                                   failure ? "members_lost" : "members_reached",
+                                   {{"reason", failure ? failure->reason : std::string()}});
+                 }})
 {
 }
 
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -69,7 +69,7 @@
     }
     of.call.question.until_objective = until(of.objective_at, now);
     of.call.question.until_end = until(of.end_at, now);
-    if (!fleet_.tell_leader(of.call) && online) {
+    if (!fleet_.tell_leader(of.call) && online && !fleet_.expects_leader()) {
         place_locally(of, now);
     }
 }
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -191,6 +191,14 @@
         ++index;
     }
     out.setSpentIsComplete(in.spent_is_complete);
+    auto held = out.initHeldBlocks(static_cast<unsigned>(in.held_blocks.size()));
+    for (unsigned position = 0; position < in.held_blocks.size(); ++position) {
+        const serving::block_mark& mark = in.held_blocks[position];
+        held[position].setKind(static_cast<std::uint8_t>(mark.id.kind));
+        held[position].setIndex(mark.id.index);
+        held[position].setCount(mark.id.count);
+        held[position].setHash(mark.hash);
+    }
 }
 
 serving::instance_report read(schema::Report::Reader in)
@@ -211,6 +219,11 @@
         out.spent[core::team_id(text(entry.getTeam()))] = entry.getCount();
     }
     out.spent_is_complete = in.getSpentIsComplete();
+    constexpr auto last_kind = static_cast<std::uint8_t>(serving::block_kind::targets);
+    for (const auto mark : in.getHeldBlocks()) {
+        const auto kind = static_cast<serving::block_kind>(std::min(mark.getKind(), last_kind));
+        out.held_blocks.push_back({{kind, mark.getCount(), mark.getIndex()}, mark.getHash()});
+    }
     return out;
 }
 
@@ -240,17 +253,10 @@
 {
     write(out.initLeader(), in.leader);
     out.setResigning(in.resigning);
+    out.setIntervalMs(to_wire(in.interval));
     out.setStateVersion(in.state_version);
-    auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
-    for (unsigned index = 0; index < in.members.size(); ++index) {
-        write(members[index].initMember(), in.members[index].member);
-        members[index].setReady(in.members[index].ready);
-        write_partitions(members[index], in.members[index].partitions);
-    }
-    auto targets = out.initTargets(static_cast<unsigned>(in.targets.size()));
-    for (unsigned index = 0; index < in.targets.size(); ++index) {
-        write(targets[index], in.targets[index]);
-    }
+    out.setStoreAgeMs(to_wire(in.store_age));
+    out.setMembers(in.members);
 }
 
 serving::fleet_digest read(schema::Digest::Reader in)
@@ -258,17 +264,112 @@
     serving::fleet_digest out;
     out.leader = read(in.getLeader());
     out.resigning = in.getResigning();
+    out.interval = milliseconds(in.getIntervalMs());
     out.state_version = in.getStateVersion();
-    for (const auto member : in.getMembers()) {
-        out.members.push_back(
-            {read(member.getMember()), member.getReady(), read_partitions(member)});
+    out.store_age = milliseconds(in.getStoreAgeMs());
+    out.members = in.getMembers();
+    return out;
+}
+
+void write(schema::Owner::Builder out, const serving::partition_owner& in)
+{
+    out.setPartition(in.partition);
+    out.setEpoch(in.epoch);
+    out.setInstance(in.instance.value());
+}
+
+serving::partition_owner read(schema::Owner::Reader in)
+{
+    return {in.getPartition(), in.getEpoch(), core::instance_id(text(in.getInstance()))};
+}
+
+template <class List, class Entry>
+void write_entries(List out, const std::vector<Entry>& in)
+{
+    for (unsigned index = 0; index < in.size(); ++index) {
+        write(out[index], in[index]);
+    }
+}
+
+template <class List>
+auto read_entries(List in)
+{
+    std::vector<decltype(read(in[0]))> out;
+    for (const auto entry : in) {
+        out.push_back(read(entry));
+    }
+    return out;
+}
+
+void write(schema::Block::Builder out, const serving::fleet_block& in)
+{
+    out.setIndex(in.id.index);
+    out.setCount(in.id.count);
+    std::visit(core::visitors{
+                   [&](const serving::partition_owners& list) {
+                       write_entries(out.initOwners(static_cast<unsigned>(list.size())), list);
+                   },
+                   [&](const serving::ready_members& list) {
+                       write_entries(out.initMembers(static_cast<unsigned>(list.size())), list);
+                   },
+                   [&](const serving::target_entries& list) {
+                       write_entries(out.initTargets(static_cast<unsigned>(list.size())), list);
+                   },
+               },
+               in.content);
+}
+
+serving::fleet_block read(schema::Block::Reader in)
+{
+    serving::fleet_block out;
+    out.id.index = in.getIndex();
+    out.id.count = in.getCount();
+    switch (in.which()) {
+    case schema::Block::OWNERS:
+        out.id.kind = serving::block_kind::owners;
+        out.content = read_entries(in.getOwners());
+        return out;
+    case schema::Block::MEMBERS:
+        out.id.kind = serving::block_kind::members;
+        out.content = read_entries(in.getMembers());
+        return out;
+    case schema::Block::TARGETS:
+        out.id.kind = serving::block_kind::targets;
+        out.content = read_entries(in.getTargets());
+        return out;
+    }
+    throw wire::conversion_error("block of an unknown kind");
+}
+
+void write(schema::Update::Builder out, const serving::fleet_update& in)
+{
+    out.setLeader(in.leader.value());
+    auto blocks = out.initBlocks(static_cast<unsigned>(in.blocks.size()));
+    for (unsigned index = 0; index < in.blocks.size(); ++index) {
+        write(blocks[index], in.blocks[index]);
     }
-    for (const auto target : in.getTargets()) {
-        out.targets.push_back(read(target));
+}
+
+serving::fleet_update read(schema::Update::Reader in)
+{
+    serving::fleet_update out{core::instance_id(text(in.getLeader())), {}};
+    for (const auto block : in.getBlocks()) {
+        out.blocks.push_back(read(block));
     }
     return out;
 }
 
+void write(schema::LeaderQuestion::Builder out, const serving::leader_question& in)
+{
+    write(out.initFrom(), in.from);
+    out.setFit(in.fit);
+}
+
+serving::leader_question read(schema::LeaderQuestion::Reader in)
+{
+    return {read(in.getFrom()), in.getFit()};
+}
+
 serving::peer_message read(schema::Datagram::Reader in, const core::instance_id& sender)
 {
     switch (in.which()) {
@@ -286,6 +387,12 @@
         return read(in.getDigest());
     case schema::Datagram::SLOT_WAITING:
         return serving::slot_waiting{in.getSlotWaiting()};
+    case schema::Datagram::UPDATE:
+        return read(in.getUpdate());
+    case schema::Datagram::LEADER_QUESTION:
+        return read(in.getLeaderQuestion());
+    case schema::Datagram::LEADER_HINT:
+        return serving::leader_hint{read(in.getLeaderHint())};
     }
     throw wire::conversion_error("datagram of an unknown kind");
 }
@@ -304,6 +411,11 @@
                    [&](const serving::yield_order& in) { out.setYieldOrder(in.number); },
                    [&](const serving::instance_report& in) { write(out.initReport(), in); },
                    [&](const serving::fleet_digest& in) { write(out.initDigest(), in); },
+                   [&](const serving::fleet_update& in) { write(out.initUpdate(), in); },
+                   [&](const serving::leader_question& in) {
+                       write(out.initLeaderQuestion(), in);
+                   },
+                   [&](const serving::leader_hint& in) { write(out.initLeaderHint(), in.leader); },
                },
                message);
     return wire::to_bytes(builder);
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -88,20 +88,50 @@
   storeAgeMs @6 :Int32;
   spent @7 :List(TeamCount);
   spentIsComplete @8 :Bool;
+  heldBlocks @9 :List(BlockMark);
 }
 
-struct DigestMember {
-  member @0 :Member;
-  ready @1 :Bool;
-  partitions @2 :List(Partition);
+struct Block {
+  # Entries of a kind are spread over `count` blocks.
+  index @0 :UInt32;
+  count @1 :UInt32;
+  union {
+    owners @2 :List(Owner);
+    members @3 :List(Member);
+    targets @4 :List(Target);
+  }
+}
+
+struct Owner {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+  instance @2 :Text;
+}
+
+struct BlockMark {
+  kind @0 :UInt8;
+  index @1 :UInt32;
+  count @2 :UInt32;
+  hash @3 :UInt32;
 }
 
 struct Digest {
   leader @0 :Member;
   resigning @1 :Bool;
   stateVersion @2 :UInt64;
-  members @3 :List(DigestMember);
-  targets @4 :List(Target);
+  intervalMs @3 :Int32;
+  storeAgeMs @4 :Int32;
+  members @5 :UInt32;
+}
+
+struct Update {
+  leader @0 :Text;
+  blocks @1 :List(Block);
+}
+
+struct LeaderQuestion {
+  from @0 :Member;
+  fit @1 :Bool;
 }
 
 struct Datagram {
@@ -115,6 +145,10 @@
     digest @5 :Digest;
     # Number of the call that waits.
     slotWaiting @6 :UInt64;
+    update @7 :Update;
+    leaderQuestion @8 :LeaderQuestion;
+    # The leader that the sender hears.
+    leaderHint @9 :Member;
   }
 }
 
--- /dev/null
+++ b/src/serving/fleet_roster.cpp
@@ -0,0 +1,238 @@
+#include "serving/fleet_roster.hpp"
+
+#include <algorithm>
+
+namespace gooseberryfall::serving {
+
+void fleet_roster::set_registered(const std::vector<fleet_member>& members, core::time_point now)
+{
+    for (auto& [id, state] : members_) {
+        state.registered = false;
+    }
+    for (const fleet_member& member : members) {
+        const auto [position, added] = members_.try_emplace(member.id);
+        member_state& state = position->second;
+        if (added) {
+            state.heard_at = now;
+        }
+        state.registered = true;
+        state.member = member;
+    }
+    std::erase_if(members_, [](const auto& entry) {
+        return !entry.second.registered && !entry.second.alive;
+    });
+}
+
+void fleet_roster::set_targets(const target_entries& targets)
+{
+    view_.set_targets(targets);
+    ++revision_;
+}
+
+void fleet_roster::adopt(const fleet_view& view, core::time_point now)
+{
+    for (auto& [id, state] : members_) {
+        state.alive = false;
+        state.ready = false;
+        state.partitions.clear();
+    }
+    owners_.clear();
+    for (const fleet_member& member : view.members()) {
+        member_state& state = members_[member.id];
+        state.member = member;
+        state.ready = true;
+        state.leaving = false;
+        state.alive = true;
+        state.heard_at = now;
+    }
+    for (const partition_owner& owner : view.owners()) {
+        members_[owner.instance].partitions.push_back({owner.partition, owner.epoch});
+        owners_[owner.partition] = owner;
+    }
+}
+
+void fleet_roster::begin(core::time_point now)
+{
+    for (auto& [id, state] : members_) {
+        state.heard_at = now;
+        state.reported_at.reset();
+        state.held.clear();
+        state.sent.clear();
+    }
+    refresh();
+}
+
+void fleet_roster::take_report(const core::instance_id& from, const instance_report& report,
+                               core::time_point now)
+{
+    member_state& state = members_[from];
+    const bool changed = !state.alive || state.ready != report.ready ||
+                         state.leaving != report.leaving || !(state.member == report.self) ||
+                         state.partitions != report.partitions;
+    state.member = report.self;
+    state.ready = report.ready;
+    state.leaving = report.leaving;
+    state.alive = true;
+    state.silence_told = false;
+    state.heard_at = now;
+    state.reported_at = now;
+    state.store_read_at = now - report.store_age;
+    state.spent = report.spent;
+    state.spent_is_complete = report.spent_is_complete;
+    state.partitions = report.partitions;
+    state.held = report.held_blocks;
+    if (changed) {
+        refresh();
+    }
+}
+
+void fleet_roster::refresh()
+{
+    owners_.clear();
+    for (const auto& [id, state] : members_) {
+        for (const owned_partition& owned : state.partitions) {
+            if (!state.alive) {
+                continue;
+            }
+            const auto [position, added] = owners_.try_emplace(
+                owned.number, partition_owner{owned.number, owned.epoch, id});
+            if (!added && owned.epoch > position->second.epoch) {
+                position->second = {owned.number, owned.epoch, id};
+            }
+        }
+    }
+    partition_owners owners;
+    for (const auto& [number, owner] : owners_) {
+        owners.push_back(owner);
+    }
+    view_.set_owners(std::move(owners));
+    view_.set_members(ready());
+    ++revision_;
+}
+
+fleet_roster::departures fleet_roster::check_silence(std::chrono::milliseconds interval,
+                                                     core::time_point now)
+{
+    departures result;
+    for (auto& [id, state] : members_) {
+        const auto silence = now - state.heard_at;
+        if (silence <= interval * settings_.reports_missed) {
+            continue;
+        }
+        state.alive = false;
+        if (!state.silence_told) {
+            state.silence_told = true;
+            result.silent.push_back(state.member);
+        }
+        if (silence > settings_.member_lifetime) {
+            result.gone.push_back(state.member);
+        }
+    }
+    for (const fleet_member& member : result.gone) {
+        members_.erase(member.id);
+    }
+    if (!result.silent.empty() || !result.gone.empty()) {
+        refresh();
+    }
+    return result;
+}
+
+std::vector<const fleet_block*> fleet_roster::take_missing(const core::instance_id& of,
+                                                           core::time_point now)
+{
+    const auto found = members_.find(of);
+    if (found == members_.end()) {
+        return {};
+    }
+    member_state& state = found->second;
+    std::vector<const fleet_block*> result = view_.missing(of, state.held);
+    std::erase_if(result, [&](const fleet_block* block) {
+        const block_mark mark = block->mark();
+        const auto sent = state.sent.find(block->id);
+        return sent != state.sent.end() && sent->second.first == mark &&
+               now - sent->second.second < settings_.block_resend;
+    });
+    for (const fleet_block* block : result) {
+        state.sent[block->id] = {block->mark(), now};
+    }
+    return result;
+}
+
+bool fleet_roster::has_reported(const core::instance_id& of) const
+{
+    const auto found = members_.find(of);
+    return found != members_.end() && found->second.reported_at.has_value();
+}
+
+double fleet_roster::living_share() const
+{
+    return static_cast<double>(living()) / static_cast<double>(others().size() + 1);
+}
+
+spending fleet_roster::spent(const team_counts& own, bool own_is_complete) const
+{
+    spending result{own, own_is_complete, 1};
+    for (const auto& [id, state] : members_) {
+        if (id == self_ || !state.reported_at) {
+            continue;
+        }
+        ++result.instances;
+        result.complete = result.complete && state.spent_is_complete;
+        for (const auto& [team, count] : state.spent) {
+            result.spent[team] += count;
+        }
+    }
+    // One that died with its counts, such as the leader before, has sent a small part of all.
+    result.complete = result.complete && result.instances * 2 > others().size() + 1;
+    return result;
+}
+
+std::optional<core::time_point> fleet_roster::others_read_at() const
+{
+    std::optional<core::time_point> latest;
+    for (const auto& [id, state] : members_) {
+        if (id != self_ && state.alive && state.reported_at) {
+            latest = std::max(latest.value_or(state.store_read_at), state.store_read_at);
+        }
+    }
+    return latest;
+}
+
+std::vector<core::instance_id> fleet_roster::others() const
+{
+    std::vector<core::instance_id> result;
+    result.reserve(members_.size());
+    for (const auto& [id, state] : members_) {
+        if (id != self_) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::size_t fleet_roster::living() const
+{
+    const auto alive = std::count_if(members_.begin(), members_.end(), [this](const auto& entry) {
+        return entry.first != self_ && entry.second.alive;
+    });
+    return static_cast<std::size_t>(alive) + 1;
+}
+
+ready_members fleet_roster::ready() const
+{
+    ready_members result;
+    for (const auto& [id, state] : members_) {
+        if (state.alive && state.ready && !state.leaving) {
+            result.push_back(state.member);
+        }
+    }
+    return result;
+}
+
+const partition_owner* fleet_roster::owner_of(std::uint32_t partition) const
+{
+    const auto found = owners_.find(partition);
+    return found == owners_.end() ? nullptr : &found->second;
+}
+
+} // namespace gooseberryfall::serving
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/fleet_view.hpp"
 #include "serving/leadership.hpp"
 #include "serving/slot_scheduler.hpp"
 #include "serving/team_limits.hpp"
@@ -90,26 +91,44 @@
     /// long.
     team_counts spent;
     bool spent_is_complete = false;
+    /// Blocks of the leader's view that it has.
+    std::vector<block_mark> held_blocks;
 };
 
-/// An instance as the leader knows it.
-struct digest_member {
-    fleet_member member;
-    bool ready = false;
-    std::vector<owned_partition> partitions;
-};
-
-/// State of the fleet, sent by the leader to all instances.
+/// The leader's sign of life, sent to all instances.
 struct fleet_digest {
     fleet_member leader;
     /// The sender stops to lead.
     bool resigning = false;
+    /// Time to the next digest.
+    std::chrono::milliseconds interval{0};
     std::uint64_t state_version = 0;
-    std::vector<digest_member> members;
-    std::vector<target_entry> targets;
+    /// Time since any instance has read the store.
+    std::chrono::milliseconds store_age{0};
+    /// Instances that live.
+    std::uint32_t members = 0;
+};
+
+/// Blocks of the leader's view that have changed for the receiver.
+struct fleet_update {
+    core::instance_id leader;
+    std::vector<fleet_block> blocks;
+};
+
+/// Asks who leads, and says that the sender would.
+struct leader_question {
+    fleet_member from;
+    /// The sender can read the store.
+    bool fit = false;
+};
+
+/// Answers with the leader that the sender hears.
+struct leader_hint {
+    fleet_member leader;
 };
 
-using peer_message = std::variant<slot_call, slot_reply, slot_waiting, slot_end, yield_order,
-                                  instance_report, fleet_digest>;
+using peer_message =
+    std::variant<slot_call, slot_reply, slot_waiting, slot_end, yield_order, instance_report,
+                 fleet_digest, fleet_update, leader_question, leader_hint>;
 
 } // namespace gooseberryfall::serving
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -45,6 +45,7 @@
 
 void slot_scheduler::set_targets(const std::vector<target_entry>& targets)
 {
+    targets_known_ = true;
     std::map<core::service_id, std::set<core::target_id>> present;
     for (const target_entry& entry : targets) {
         present[entry.service].insert(entry.id);
@@ -253,6 +254,12 @@
     return true;
 }
 
+core::time_point slot_scheduler::last_start(const lane& of, const waiting_work& work) const
+{
+    return work.question.returning ? work.objective_at + settings_.late_patience
+                                   : work.objective_at - expected_first_event(of);
+}
+
 std::vector<core::duration> slot_scheduler::run_ends(const lane& of,
                                                      const core::service_id& service,
                                                      core::time_point now) const
@@ -309,7 +316,7 @@
         same->end_at = now + question.until_end;
         return out;
     }
-    if (of.targets.empty()) {
+    if (of.targets.empty() && targets_known_) {
         if (question.kind == work_kind::online) {
             refuse(of, question, now, slot_refusal_reason::no_target, out);
         }
@@ -328,11 +335,9 @@
         return out;
     }
     const core::duration wait =
-        predicted_wait(of, run_ends(of, question.service, now), of.online.size());
-    const core::duration allowed = question.returning
-                                       ? question.until_objective + settings_.late_patience
-                                       : question.until_objective - expected_first_event(of);
-    if (wait > allowed) {
+        targets_known_ ? predicted_wait(of, run_ends(of, question.service, now), of.online.size())
+                       : core::duration::zero();
+    if (now + wait > last_start(of, work)) {
         refuse(of, question, now, slot_refusal_reason::overloaded, out);
         return out;
     }
@@ -484,11 +489,9 @@
     const std::vector<core::duration> ends = run_ends(of, service, now);
     std::vector<waiting_work> kept;
     for (waiting_work& work : of.online) {
-        const core::duration wait = predicted_wait(of, ends, kept.size());
-        const core::time_point last_start = work.question.returning
-                                                ? work.objective_at + settings_.late_patience
-                                                : work.objective_at - expected_first_event(of);
-        if (now + wait > last_start || now >= work.end_at) {
+        const core::duration wait =
+            targets_known_ ? predicted_wait(of, ends, kept.size()) : core::duration::zero();
+        if (now + wait > last_start(of, work) || now >= work.end_at) {
             slot_question asked = work.question;
             asked.until_end = std::chrono::duration_cast<milliseconds>(work.end_at - now);
             refuse(of, asked, now, slot_refusal_reason::overloaded, out);
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -154,7 +154,8 @@
 public:
     explicit slot_scheduler(scheduler_settings settings = {}) : settings_(settings) {}
 
-    /// Replaces the targets that may be used. Runs at others go on.
+    /// Replaces the targets that may be used. Runs at others go on. Until this is called first,
+    /// work waits for the list as long as it can.
     void set_targets(const std::vector<target_entry>& targets);
 
     /// Asks for a slot. A repeated question gets the same grant again.
@@ -259,7 +260,11 @@
     void release(std::map<run_key, run>::iterator position);
     void measure(lane& of, const run& entry, const slot_return& ended);
 
+    /// Latest time at which an online request may get its slot.
+    core::time_point last_start(const lane& of, const waiting_work& work) const;
+
     scheduler_settings settings_;
+    bool targets_known_ = false;
     std::map<core::service_id, lane> lanes_;
     std::map<run_key, run> runs_;
 };
--- a/src/serving/target_directory.cpp
+++ b/src/serving/target_directory.cpp
@@ -1,7 +1,5 @@
 #include "serving/target_directory.hpp"
 
-#include <set>
-
 namespace gooseberryfall::serving {
 
 void target_directory::update(const target_entry& entry)
@@ -14,9 +12,14 @@
     }
 }
 
-bool target_directory::in_grace(core::time_point now) const
+void target_directory::adopt(const std::vector<target_entry>& entries)
 {
-    return lost_ || (regained_at_ && now < *regained_at_ + return_grace);
+    entries_.clear();
+    missing_.clear();
+    for (const target_entry& entry : entries) {
+        entries_[entry.id] = entry;
+    }
+    ++revision_;
 }
 
 void target_directory::remove(const core::target_id& id, core::time_point now)
@@ -26,8 +29,8 @@
         return;
     }
     // A target that announced its end is gone in any case.
-    if (in_grace(now) && !found->second.draining) {
-        missing_.emplace(id, now);
+    if (watch_.may_have_lapsed(now) && !found->second.draining) {
+        missing_.insert(id);
         return;
     }
     entries_.erase(found);
@@ -52,25 +55,12 @@
     }
 }
 
-void target_directory::registry_lost()
-{
-    lost_ = true;
-}
-
-void target_directory::registry_regained(core::time_point now)
-{
-    if (lost_) {
-        lost_ = false;
-        regained_at_ = now;
-    }
-}
-
 bool target_directory::expire(core::time_point now)
 {
-    if (missing_.empty() || in_grace(now)) {
+    if (missing_.empty() || watch_.may_have_lapsed(now)) {
         return false;
     }
-    for (const auto& [id, since] : missing_) {
+    for (const core::target_id& id : missing_) {
         entries_.erase(id);
     }
     missing_.clear();
--- a/src/serving/target_directory.hpp
+++ b/src/serving/target_directory.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "core/types.hpp"
+#include "serving/registry_watch.hpp"
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,14 @@
 /// away. Deterministic; not thread-safe.
 class target_directory {
 public:
+    explicit target_directory(registry_watch_settings settings = {}) : watch_(settings) {}
+
+    /// When the registry was read, by whom.
+    registry_watch& watch() { return watch_; }
+
+    /// Replaces all entries by what another instance has read, before this one reads them itself.
+    void adopt(const std::vector<target_entry>& entries);
+
     /// An entry has been read.
     void update(const target_entry& entry);
 
@@ -41,12 +50,6 @@
     /// The whole registry has been read: targets that it lacks are removed.
     void replace_all(const std::vector<target_entry>& entries, core::time_point now);
 
-    /// The registry did not answer.
-    void registry_lost();
-
-    /// The registry answers again.
-    void registry_regained(core::time_point now);
-
     /// Applies the removals whose grace time is over and says whether anything changed.
     bool expire(core::time_point now);
 
@@ -62,16 +65,10 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
-    /// Time after the registry's return in which living targets register again.
-    static constexpr std::chrono::milliseconds return_grace{2200};
-
-    bool in_grace(core::time_point now) const;
-
     std::map<core::target_id, target_entry> entries_;
     /// Entries removed during a grace time.
-    std::map<core::target_id, core::time_point> missing_;
-    bool lost_ = false;
-    std::optional<core::time_point> regained_at_;
+    std::set<core::target_id> missing_;
+    registry_watch watch_;
     std::uint64_t revision_ = 0;
 };
 
