edge: replace the owner of job partitions at once, and let calls wait for it

An owner that the store refused took submissions that it could not write. A partition that changed hands lost up to 1.5 s of progress. Ruled out: the leader (it was there all the time), the load of the targets. Instances read at intervals that differ.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -8,10 +8,18 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
 /// A caller that has less of its usual time left has been refused before.
 constexpr double returning_share = 0.985;
 
+/// Time for which a request waits for the first desired state: an instance that has just started
+/// reads it within some ms.
+constexpr milliseconds state_wait{200};
+
+/// Requests that wait for it at once: bounds memory.
+constexpr std::size_t waiting_max = 256;
+
 } // namespace
 
 caller_gateway::caller_gateway(edge_context& context, job_service& jobs)
@@ -34,7 +42,30 @@
         caller->send(context_.translator.encode_refusal(refusal_reason::invalid, {}, {}));
         return;
     }
-    caller_request request = std::move(*decoded);
+    waiting_request entry{std::move(*decoded), std::move(caller), steady_clock::now()};
+    if (context_.routes == nullptr && waiting_.size() < waiting_max) {
+        waiting_.push_back(std::move(entry));
+        return;
+    }
+    route(std::move(entry));
+}
+
+void caller_gateway::tick(core::time_point now)
+{
+    for (waiting_request& waiting : std::exchange(waiting_, {})) {
+        if (context_.routes != nullptr || now >= waiting.received_at + state_wait) {
+            route(std::move(waiting));
+        }
+        else {
+            waiting_.push_back(std::move(waiting));
+        }
+    }
+}
+
+void caller_gateway::route(waiting_request received)
+{
+    caller_request& request = received.request;
+    std::shared_ptr<http::responder>& caller = received.caller;
     const auto table = context_.routes;
     if (table == nullptr) {
         refuse(request, refusal_reason::no_state, caller);
@@ -62,6 +93,7 @@
     admitted.table = table;
     admitted.route = route;
     admitted.team = team_id;
+    admitted.received_at = received.received_at;
     admitted.returning = is_returning(*route, request);
     admitted.request = std::move(request);
     handle_online(std::move(admitted), std::move(caller));
--- a/src/edge/caller_gateway.hpp
+++ b/src/edge/caller_gateway.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace gooseberryfall::edge {
 
@@ -16,13 +17,23 @@
 public:
     caller_gateway(edge_context& context, job_service& jobs);
 
-    /// Handles one request.
+    /// Handles one request. Until a desired state is known it waits for a moment.
     void handle(http::request received, std::shared_ptr<http::responder> caller);
 
+    /// Time has passed; to be called every 20 ms.
+    void tick(core::time_point now);
+
     /// Online requests that have no final answer yet.
     std::size_t open() const { return open_; }
 
 private:
+    struct waiting_request {
+        caller_request request;
+        std::shared_ptr<http::responder> caller;
+        core::time_point received_at;
+    };
+
+    void route(waiting_request received);
     void refuse(const caller_request& request, refusal_reason reason,
                 const std::shared_ptr<http::responder>& caller);
     void handle_online(admitted_request request, std::shared_ptr<http::responder> caller);
@@ -32,6 +43,8 @@
     edge_context& context_;
     job_service& jobs_;
     std::size_t open_ = 0;
+    /// Requests that wait for the first desired state.
+    std::vector<waiting_request> waiting_;
     /// Longest time limit that callers of a route have sent: first attempts have all of it.
     std::map<std::string, std::chrono::milliseconds> full_limits_;
     std::map<std::string, kernel::counter*> refused_;
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -17,6 +17,17 @@
 /// Between two ticks: a request that became hopeless is refused within this time.
 constexpr milliseconds tick_interval{20};
 
+/// Part of the interval of reads by which instances differ: those that have started together would
+/// read together for good, and none would know more than the others.
+constexpr double read_spread = 0.15;
+
+milliseconds spread_interval(milliseconds longest, const core::instance_id& self)
+{
+    constexpr std::uint64_t steps = 1000;
+    const double draw = static_cast<double>(core::stable_hash(self.value()) % steps) / steps;
+    return std::chrono::duration_cast<milliseconds>(longest * (1.0 - read_spread * draw));
+}
+
 /// Idle connections, until a desired state tells its limit.
 constexpr milliseconds caller_idle{75000};
 
@@ -103,6 +114,7 @@
       metrics_(std::move(metrics)), translator_(std::move(translator)), store_(std::move(durable))
 {
     const serving::fleet_member& self = settings_.self;
+    state_interval_ = spread_interval(settings_.state_interval, self.id);
     state_version_gauge_ =
         &metrics_->add_gauge("state_version", "Version of the desired state in force");
     store_age_gauge_ =
@@ -117,6 +129,9 @@
     callbacks.on_newer_state = [this](const core::instance_id& from, std::uint64_t version) {
         fetch_state(from, version);
     };
+    callbacks.on_owner_silent = [this](const core::instance_id& instance) {
+        jobs_->remove_owner(instance);
+    };
     callbacks.on_member_gone = [this](const serving::fleet_member& member) {
         registry_->remove(member);
     };
@@ -129,8 +144,7 @@
     context_ = std::make_unique<edge_context>(
         edge_context{*loop_, *logger_, *metrics_, *translator_, *targets_client_, *desk_, *fleet_,
                      settings_.timeouts, self.data_centre, nullptr});
-    jobs_ = std::make_unique<job_service>(*context_, *store_, *peers_client_, settings_.jobs,
-                                          self.name + '-' + std::to_string(self.started_at));
+    jobs_ = std::make_unique<job_service>(*context_, *store_, *peers_client_, settings_.jobs);
     gateway_ = std::make_unique<caller_gateway>(*context_, *jobs_);
     state_follower_ = std::make_unique<log_follower>(
         *store_, translator_->state_place(),
@@ -282,6 +296,7 @@
     if (capable && !leaving_since_) {
         jobs_->participate();
     }
+    gateway_->tick(now);
     jobs_->tick(now);
     check_left(now);
     loop_->post_after(tick_interval, [this, alive = alive_] {
@@ -293,13 +308,13 @@
 
 void edge_node::watch_store(core::time_point now)
 {
-    state_follower_->tick(now, settings_.state_interval);
+    state_follower_->tick(now, state_interval_);
     const bool lone = !fleet_->has_leader();
     follow_targets(now);
     if (lone || fleet_->leads()) {
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
-    const auto read_at = state_follower_->read_at();
+    const auto read_at = std::max(state_follower_->read_at(), jobs_->joined_at());
     fleet_->set_store_read_at(read_at);
     if (read_at) {
         targets_.watch().on_own_read(*read_at);
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -102,6 +102,8 @@
     kernel::gauge* state_version_gauge_ = nullptr;
     kernel::gauge* store_age_gauge_ = nullptr;
     serving::target_directory targets_;
+    /// Between two reads of the desired state by this instance.
+    std::chrono::milliseconds state_interval_{0};
     std::string state_record_;
     bool fetching_state_ = false;
     bool follows_targets_ = false;
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -127,8 +127,7 @@
 bool fleet_service::others_know_more() const
 {
     const auto others = roster_.others_read_at();
-    return others &&
-           *others > store_read_at_.value_or(core::time_point()) + settings_.store_lead;
+    return others && *others > store_read_at_.value_or(core::time_point()) + settings_.store_lead;
 }
 
 void fleet_service::send(const core::instance_id& to, const peer_message& message)
@@ -136,6 +135,11 @@
     socket_.send(to, message);
 }
 
+void fleet_service::report_ended(const core::instance_id& instance)
+{
+    tell_leader(serving::instance_ended{instance});
+}
+
 bool fleet_service::tell_leader(const peer_message& message)
 {
     const core::time_point now = steady_clock::now();
@@ -144,6 +148,7 @@
             core::visitors{
                 [&](const serving::slot_call& call) { deliver(placement_.on_call(call, now)); },
                 [&](const serving::slot_end& end) { deliver(placement_.on_end(end, now)); },
+                [&](const serving::instance_ended& ended) { roster_.note_ended(ended.instance); },
                 [](const auto&) {},
             },
             message);
@@ -220,6 +225,11 @@
                    [&](serving::fleet_update& update) { on_update(std::move(update)); },
                    [&](const serving::leader_question& question) { on_question(from, question); },
                    [&](const serving::leader_hint& hint) { on_hint(hint); },
+                   [&](const serving::instance_ended& ended) {
+                       if (leads) {
+                           roster_.note_ended(ended.instance);
+                       }
+                   },
                    [&](const auto& work) { callbacks_.on_work_message(work); },
                },
                message);
@@ -325,10 +335,15 @@
 void fleet_service::check_members(core::time_point now)
 {
     const auto departures = roster_.check_silence(leadership_.interval(), now);
-    for (const serving::fleet_member& member : departures.silent) {
+    for (const auto& [member, owner] : departures.silent) {
         logger_.write(kernel::log_level::warning, "instance_silent",
-                      {{"instance", member.name}, {"address", member.id.value()}});
+                      {{"instance", member.name},
+                       {"address", member.id.value()},
+                       {"owner", owner ? "yes" : "no"}});
         deliver(placement_.forget_instance(member.id, now));
+        if (owner) {
+            callbacks_.on_owner_silent(member.id);
+        }
     }
     for (const serving::fleet_member& member : departures.gone) {
         callbacks_.on_member_gone(member);
@@ -429,8 +444,8 @@
     digest.leader = leadership_.self();
     digest.interval = leadership_.interval();
     digest.state_version = state_version_;
-    digest.store_age = std::chrono::duration_cast<milliseconds>(
-        now - fleet_read_at_.value_or(core::time_point()));
+    digest.store_age =
+        std::chrono::duration_cast<milliseconds>(now - fleet_read_at_.value_or(core::time_point()));
     digest.members = static_cast<std::uint32_t>(roster_.living());
     return digest;
 }
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -50,6 +50,8 @@
     std::function<void(const serving::peer_message&)> on_work_message;
     /// The leader has a newer desired state than this instance.
     std::function<void(const core::instance_id& leader, std::uint64_t version)> on_newer_state;
+    /// An instance that owned job partitions has fallen silent, as this one notes as the leader.
+    std::function<void(const core::instance_id&)> on_owner_silent;
     /// A member has gone for good.
     std::function<void(const serving::fleet_member&)> on_member_gone;
 };
@@ -94,6 +96,9 @@
     /// Gives a message to whoever leads. False if nobody is known to.
     bool tell_leader(const serving::peer_message& message);
 
+    /// Nothing listens at an instance's address: the leader need not wait for its silence.
+    void report_ended(const core::instance_id& instance);
+
     /// Sends a message to another instance.
     void send(const core::instance_id& to, const serving::peer_message& message);
 
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -3,6 +3,7 @@
 #include "core/visitors.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace gooseberryfall::edge {
@@ -51,10 +52,6 @@
     for (const auto& [key, run] : runs_) {
         run->stop();
     }
-    // They are answered as unavailable.
-    for (const auto& call : when_active_) {
-        call();
-    }
     for (const waiting_reader& reader : readers_) {
         reader.done(job_outcome::unavailable, retry_soon);
     }
@@ -131,9 +128,6 @@
                            {"open_items", std::to_string(ledger_.open_items())},
                            {"unreadable", std::to_string(reader_.unreadable())}});
     context_.fleet.hurry_report();
-    for (const auto& call : std::exchange(when_active_, {})) {
-        call();
-    }
 }
 
 void job_partition::lose(const std::string& reason)
@@ -158,16 +152,7 @@
 void job_partition::handle(const core::team_id& team, const job_call& call, bool owner_is_certain,
                            const job_callback& done)
 {
-    if (lost_ || releasing_) {
-        done(job_outcome::unavailable, retry_soon);
-        return;
-    }
-    if (!active()) {
-        when_active_.push_back([this, team, call, owner_is_certain, done] {
-            handle(team, call, owner_is_certain, done);
-        });
-        return;
-    }
+    assert(serves());
     if (const auto* submission = std::get_if<submit_job>(&call)) {
         submit(team, *submission, done);
         return;
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -62,8 +62,11 @@
     /// Whether the log has been taken over.
     bool active() const { return writer_ != nullptr; }
 
-    /// Answers a call of a team. `owner_is_certain`: no other instance can have taken the partition
-    /// unnoticed, so that an unknown job does not exist.
+    /// Whether calls are answered here.
+    bool serves() const { return active() && !lost_ && !releasing_; }
+
+    /// Answers a call of a team. Precondition: `serves()`. `owner_is_certain`: no other instance
+    /// can have taken the partition unnoticed, so that an unknown job does not exist.
     void handle(const core::team_id& team, const job_call& call, bool owner_is_certain,
                 const job_callback& done);
 
@@ -122,7 +125,6 @@
     /// Time that items have been generating, in all their runs.
     std::map<serving::item_key, std::chrono::milliseconds> run_times_;
     std::list<waiting_reader> readers_;
-    std::vector<std::function<void()>> when_active_;
     std::map<std::string, core::time_point> route_missing_since_;
     core::time_point progress_written_at_{};
     core::time_point checked_at_{};
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -1,9 +1,6 @@
 #include "edge/job_service.hpp"
 
-#include "core/visitors.hpp"
-
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace gooseberryfall::edge {
@@ -13,7 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr const char* group_name = "jobs";
 constexpr const char* forwarded_path = "/jobs";
 /// Headers of a call that is passed on, beside the caller's own.
 constexpr const char* team_header = "Fleet-Team";
@@ -21,25 +17,29 @@
 constexpr const char* target_header = "Fleet-Target";
 constexpr const char* method_header = "Fleet-Method";
 
-/// When a call that found no owner may be tried again: a takeover lasts about a second.
+/// When a call that found no owner may be tried again: most of a takeover has passed by then.
 constexpr milliseconds no_owner_retry{400};
 
+/// Answer of an instance that does not own the partition of a call that was passed on to it.
+constexpr unsigned status_misdirected = 421;
+
 /// An owner that takes this long to accept a connection is taken for lost.
-constexpr milliseconds owner_connect{300};
+constexpr milliseconds owner_connect{200};
 
 } // namespace
 
 job_service::job_service(edge_context& context, store& durable, http::client& peers,
-                         job_settings settings, std::string member_name)
+                         job_settings settings)
     : context_(context), store_(durable), peers_(peers), settings_(settings),
-      member_name_(std::move(member_name)),
+      group_(
+          durable, context.logger, settings.group, context.fleet.self_id(),
+          [this](const group_view& view, bool continuous, const std::function<void()>& released) {
+              return on_view(view, continuous, released);
+          }),
       partitions_gauge_(context.metrics.add_gauge("job_partitions", "Job partitions owned")),
       running_gauge_(context.metrics.add_gauge("job_items_running", "Batch items run here")),
       forwarded_(context.metrics.add_counter("job_calls_forwarded", "Job calls passed to owners"))
 {
-    for (std::uint32_t topic = 0; topic < settings_.topics; ++topic) {
-        topics_.push_back("jobs" + std::to_string(topic));
-    }
 }
 
 job_service::~job_service()
@@ -47,26 +47,26 @@
     *alive_ = false;
 }
 
-void job_service::participate()
-{
-    participates_ = true;
-}
-
 std::uint32_t job_service::partition_of(const core::team_id& team) const
 {
-    const std::uint32_t count = settings_.topics * settings_.partitions;
-    return static_cast<std::uint32_t>(core::stable_hash(team.value()) % count);
+    const auto topics = static_cast<std::uint32_t>(group_.topics().size());
+    return static_cast<std::uint32_t>(core::stable_hash(team.value()) %
+                                      (topics * settings_.partitions));
 }
 
 log_place job_service::place_of(std::uint32_t partition) const
 {
-    return {topics_.at(partition / settings_.partitions), partition % settings_.partitions};
+    return {group_.topics().at(partition / settings_.partitions), partition % settings_.partitions};
 }
 
-std::uint32_t job_service::number_of(const log_place& place) const
+std::optional<std::uint32_t> job_service::number_of(const log_place& place) const
 {
-    const auto found = std::find(topics_.begin(), topics_.end(), place.topic);
-    const auto topic = static_cast<std::uint32_t>(found - topics_.begin());
+    const auto& topics = group_.topics();
+    const auto found = std::find(topics.begin(), topics.end(), place.topic);
+    if (found == topics.end()) {
+        return std::nullopt;
+    }
+    const auto topic = static_cast<std::uint32_t>(found - topics.begin());
     return topic * settings_.partitions + place.partition;
 }
 
@@ -81,25 +81,6 @@
     return result;
 }
 
-bool job_service::is_superseded(std::uint32_t number, const job_partition& partition) const
-{
-    const auto owner = context_.fleet.owner_of(number);
-    return owner && owner->epoch > partition.epoch();
-}
-
-void job_service::drop_superseded()
-{
-    for (auto partition = partitions_.begin(); partition != partitions_.end();) {
-        const auto current = partition++;
-        if (is_superseded(current->first, *current->second)) {
-            context_.logger.write(kernel::log_level::warning, "partition_superseded",
-                                  {{"partition", std::to_string(current->first)},
-                                   {"epoch", std::to_string(current->second->epoch())}});
-            partitions_.erase(current);
-        }
-    }
-}
-
 std::size_t job_service::running() const
 {
     std::size_t total = 0;
@@ -109,66 +90,104 @@
     return total;
 }
 
-void job_service::tick(core::time_point now)
+void job_service::drop(std::uint32_t partition, const char* reason)
 {
-    if (participates_ && !leaving_ && !joining_ && now - join_sent_at_ >= settings_.join_interval) {
-        join();
-    }
-    drop_superseded();
-    for (const auto& [number, partition] : partitions_) {
-        partition->tick(now);
+    const auto found = partitions_.find(partition);
+    if (found == partitions_.end()) {
+        return;
     }
-    partitions_gauge_.set(static_cast<double>(partitions_.size()));
-    running_gauge_.set(static_cast<double>(running()));
+    context_.logger.write(kernel::log_level::info, reason,
+                          {{"partition", std::to_string(partition)},
+                           {"epoch", std::to_string(found->second->epoch())}});
+    partitions_.erase(found);
+    context_.fleet.hurry_report();
 }
 
-void job_service::join()
+void job_service::take_over(std::uint32_t partition, std::uint64_t epoch)
 {
-    joining_ = true;
-    const core::time_point sent = steady_clock::now();
-    join_sent_at_ = sent;
-    store_.join(group_name, member_name_, topics_, settings_.membership, generation_,
-                [this, alive = alive_, sent](const store_result<group_view>& result) {
-                    if (!*alive) {
-                        return;
-                    }
-                    joining_ = false;
-                    if (result && !leaving_) {
-                        joined_at_ = sent;
-                        on_view(*result);
-                    }
-                });
+    auto added = std::make_unique<job_partition>(context_, store_, place_of(partition), epoch,
+                                                 settings_.partition, [this, partition, epoch] {
+                                                     const auto lost = partitions_.find(partition);
+                                                     if (lost != partitions_.end() &&
+                                                         lost->second->epoch() == epoch) {
+                                                         drop(partition, "partition_given_up");
+                                                     }
+                                                 });
+    job_partition& started = *added;
+    partitions_.emplace(partition, std::move(added));
+    started.start();
 }
 
-void job_service::on_view(const group_view& view)
+bool job_service::on_view(const group_view& view, bool continuous,
+                          const std::function<void()>& released)
 {
-    generation_ = view.generation;
     std::set<std::uint32_t> assigned;
     for (const log_place& place : view.places) {
-        if (std::find(topics_.begin(), topics_.end(), place.topic) != topics_.end()) {
-            assigned.insert(number_of(place));
+        if (const auto number = number_of(place)) {
+            assigned.insert(*number);
         }
     }
-    for (auto partition = partitions_.begin(); partition != partitions_.end();) {
-        const auto current = partition++;
-        if (!assigned.contains(current->first)) {
-            context_.logger.write(kernel::log_level::info, "partition_reassigned",
-                                  {{"partition", std::to_string(current->first)},
-                                   {"generation", std::to_string(generation_)}});
-            partitions_.erase(current);
+    std::vector<std::uint32_t> lost;
+    for (const auto& [number, partition] : partitions_) {
+        if (!assigned.contains(number) || !continuous) {
+            lost.push_back(number);
         }
     }
+    const auto left = std::make_shared<std::size_t>(lost.size());
+    for (const std::uint32_t number : lost) {
+        job_partition& partition = *partitions_.at(number);
+        // Progress is written before another instance loads it.
+        partition.release(
+            [this, alive = alive_, left, number, epoch = partition.epoch(), released] {
+                if (!*alive) {
+                    return;
+                }
+                const auto found = partitions_.find(number);
+                if (found != partitions_.end() && found->second->epoch() == epoch) {
+                    drop(number, "partition_reassigned");
+                }
+                if (--*left == 0) {
+                    released();
+                }
+            });
+    }
     for (const std::uint32_t number : assigned) {
-        if (partitions_.contains(number)) {
-            continue;
+        if (!partitions_.contains(number)) {
+            take_over(number, view.generation);
         }
-        auto added = std::make_unique<job_partition>(context_, store_, place_of(number),
-                                                     generation_, settings_.partition,
-                                                     [this, number] { partitions_.erase(number); });
-        job_partition& partition = *added;
-        partitions_.emplace(number, std::move(added));
-        partition.start();
     }
+    return !lost.empty();
+}
+
+bool job_service::is_superseded(std::uint32_t number, const job_partition& partition) const
+{
+    const serving::partition_owner* owner = context_.fleet.owner_of(number);
+    return owner != nullptr && owner->epoch > partition.epoch();
+}
+
+void job_service::drop_superseded()
+{
+    std::vector<std::uint32_t> superseded;
+    for (const auto& [number, partition] : partitions_) {
+        if (is_superseded(number, *partition)) {
+            superseded.push_back(number);
+        }
+    }
+    for (const std::uint32_t number : superseded) {
+        drop(number, "partition_superseded");
+    }
+}
+
+void job_service::tick(core::time_point now)
+{
+    group_.tick(now);
+    drop_superseded();
+    for (const auto& [number, partition] : partitions_) {
+        partition->tick(now);
+    }
+    retry_waiting(now);
+    partitions_gauge_.set(static_cast<double>(partitions_.size()));
+    running_gauge_.set(static_cast<double>(running()));
 }
 
 void job_service::answer(const std::shared_ptr<http::responder>& caller, const job_answer& answer,
@@ -177,114 +196,189 @@
     caller->send(context_.translator.encode(answer, retry_after));
 }
 
+void job_service::refuse(const routed_call& call, const std::string& reason)
+{
+    context_.logger.write(
+        kernel::log_level::info, "job_call_refused",
+        {{"id", call.request.id},
+         {"reason", reason},
+         {"partition", std::to_string(call.partition)},
+         {"owner", call.unreachable ? call.unreachable->instance.value() : std::string()}});
+    answer(call.caller, job_outcome::unavailable, no_owner_retry);
+}
+
 void job_service::handle(const caller_request& request, const serving::route* route,
                          const core::team_id& team, std::shared_ptr<http::responder> caller)
 {
-    auto call = context_.translator.decode_job_call(request, route != nullptr);
-    if (!call) {
+    start_call(request, route != nullptr, route == nullptr ? std::string() : route->name, team,
+               false, std::move(caller));
+}
+
+void job_service::handle_forwarded(http::request received,
+                                   const std::shared_ptr<http::responder>& caller)
+{
+    const core::team_id team(received.headers.get(team_header));
+    const std::string route = received.headers.get(route_header);
+    received.method = received.headers.get(method_header);
+    received.target = received.headers.get(target_header);
+    auto request = context_.translator.decode(std::move(received));
+    if (!request) {
+        answer(caller, job_outcome::invalid, {});
+        return;
+    }
+    if (leaving_ || !partitions_.contains(partition_of(team))) {
+        caller->send({status_misdirected, {}, {}});
+        return;
+    }
+    start_call(*request, !route.empty(), route, team, true, caller);
+}
+
+void job_service::start_call(const caller_request& request, bool submits, const std::string& route,
+                             const core::team_id& team, bool forwarded,
+                             std::shared_ptr<http::responder> caller)
+{
+    auto decoded = context_.translator.decode_job_call(request, submits);
+    if (!decoded) {
         context_.logger.write(kernel::log_level::info, "job_call_refused",
-                              {{"id", request.id}, {"reason", call.error()}});
+                              {{"id", request.id}, {"reason", decoded.error()}});
         answer(caller, job_outcome::invalid, {});
         return;
     }
-    if (auto* submission = std::get_if<submit_job>(&*call)) {
+    if (auto* submission = std::get_if<submit_job>(&*decoded)) {
         submission->job.team = team;
-        submission->job.route = route->name;
+        submission->job.route = route;
     }
-    const std::uint32_t partition = partition_of(team);
-    if (partitions_.contains(partition)) {
-        handle_here(partition, team, *call, caller);
+    const auto call = std::make_shared<routed_call>();
+    call->request = request;
+    call->call = std::move(*decoded);
+    call->route = route;
+    call->team = team;
+    call->partition = partition_of(team);
+    call->caller = std::move(caller);
+    call->until = steady_clock::now() + settings_.owner_wait;
+    call->forwarded = forwarded;
+    if (route_call(call)) {
         return;
     }
-    const auto owner = context_.fleet.owner_of(partition);
-    if (!owner) {
-        context_.logger.write(kernel::log_level::info, "job_call_refused",
-                              {{"id", request.id},
-                               {"reason", "no owner known"},
-                               {"partition", std::to_string(partition)}});
-        answer(caller, job_outcome::unavailable, no_owner_retry);
+    if (waiting_.size() >= settings_.waiting_max) {
+        refuse(*call, "no owner known, and too many calls wait");
         return;
     }
-    forward(owner->instance, request, route, team, std::move(caller));
+    waiting_.push_back(call);
 }
 
-void job_service::handle_here(std::uint32_t partition, const core::team_id& team,
-                              const job_call& call, const std::shared_ptr<http::responder>& caller)
+bool job_service::store_is_silent(core::time_point now) const
 {
-    const bool certain = steady_clock::now() - joined_at_ < settings_.certainty;
-    partitions_.at(partition)->handle(
-        team, call, certain,
-        [this, alive = alive_, caller](const job_answer& result, milliseconds retry_after) {
-            if (*alive) {
-                answer(caller, result, retry_after);
-            }
-        });
+    const auto joined = group_.joined_at();
+    return !joined || now - *joined > settings_.store_silence;
+}
+
+bool job_service::route_call(const std::shared_ptr<routed_call>& call)
+{
+    const auto own = partitions_.find(call->partition);
+    if (own != partitions_.end() && own->second->serves()) {
+        const bool submits = !call->route.empty();
+        if (submits && store_is_silent(steady_clock::now())) {
+            refuse(*call, "the store is not reached");
+            return true;
+        }
+        handle_here(*own->second, *call);
+        return true;
+    }
+    const serving::partition_owner* owner = context_.fleet.owner_of(call->partition);
+    const bool usable = owner != nullptr && !call->forwarded &&
+                        owner->instance != context_.fleet.self_id() &&
+                        (!call->unreachable || *owner != *call->unreachable);
+    if (usable) {
+        forward(*owner, call);
+    }
+    return usable;
+}
+
+void job_service::retry_waiting(core::time_point now)
+{
+    for (const auto& call : std::exchange(waiting_, {})) {
+        if (route_call(call)) {
+            continue;
+        }
+        if (now >= call->until) {
+            refuse(*call, "no owner known");
+            continue;
+        }
+        waiting_.push_back(call);
+    }
+}
+
+void job_service::handle_here(job_partition& partition, const routed_call& call)
+{
+    const auto joined = group_.joined_at();
+    const bool certain = joined && steady_clock::now() - *joined < settings_.certainty;
+    partition.handle(call.team, call.call, certain,
+                     [this, alive = alive_, caller = call.caller](const job_answer& result,
+                                                                  milliseconds retry_after) {
+                         if (*alive) {
+                             answer(caller, result, retry_after);
+                         }
+                     });
 }
 
-void job_service::forward(const core::instance_id& owner, const caller_request& request,
-                          const serving::route* route, const core::team_id& team,
-                          std::shared_ptr<http::responder> caller)
+void job_service::forward(const serving::partition_owner& owner,
+                          const std::shared_ptr<routed_call>& call)
 {
     forwarded_.add();
     http::client_request passed;
-    passed.address = owner.value();
+    passed.address = owner.instance.value();
     passed.method = "POST";
     passed.target = forwarded_path;
-    passed.headers = request.received.headers;
-    passed.headers.set(method_header, request.received.method);
-    passed.headers.set(target_header, request.received.target);
-    passed.headers.set(team_header, team.value());
-    if (route != nullptr) {
-        passed.headers.set(route_header, route->name);
+    passed.headers = call->request.received.headers;
+    passed.headers.set(method_header, call->request.received.method);
+    passed.headers.set(target_header, call->request.received.target);
+    passed.headers.set(team_header, call->team.value());
+    if (!call->route.empty()) {
+        passed.headers.set(route_header, call->route);
     }
-    passed.body = request.received.body;
+    passed.body = call->request.received.body;
     passed.timeouts.connect = owner_connect;
     passed.timeouts.first_byte = settings_.forward_wait + std::chrono::seconds(1);
     passed.use = http::connection_use::any;
-    const bool submits = route != nullptr;
     http::call_observer observer;
-    observer.on_done = [this, alive = alive_, caller = std::move(caller), submits, id = request.id,
-                        owner](const http::call_result& result) {
-        if (!*alive) {
-            return;
-        }
-        if (result.outcome == http::call_outcome::completed) {
-            caller->send({result.head.status, result.head.headers, result.body});
-            return;
+    observer.on_done = [this, alive = alive_, call, owner](const http::call_result& result) {
+        if (*alive) {
+            on_forwarded(owner, call, result);
         }
-        context_.logger.write(kernel::log_level::info, "job_call_refused",
-                              {{"id", id}, {"reason", result.reason}, {"owner", owner.value()}});
-        // What may have reached the owner may have been accepted.
-        const bool uncertain = submits && result.sent;
-        answer(caller, uncertain ? job_outcome::uncertain : job_outcome::unavailable,
-               no_owner_retry);
     };
     peers_.start(std::move(passed), std::move(observer));
 }
 
-void job_service::handle_forwarded(http::request received,
-                                   const std::shared_ptr<http::responder>& caller)
+void job_service::on_forwarded(const serving::partition_owner& owner,
+                               const std::shared_ptr<routed_call>& call,
+                               const http::call_result& result)
 {
-    const core::team_id team(received.headers.get(team_header));
-    const std::string route = received.headers.get(route_header);
-    received.method = received.headers.get(method_header);
-    received.target = received.headers.get(target_header);
-    auto request = context_.translator.decode(std::move(received));
-    const std::uint32_t partition = partition_of(team);
-    if (!request || leaving_ || !partitions_.contains(partition)) {
-        answer(caller, job_outcome::unavailable, no_owner_retry);
+    const bool completed = result.outcome == http::call_outcome::completed;
+    const bool misdirected = completed && result.head.status == status_misdirected;
+    if (completed && !misdirected) {
+        call->caller->send({result.head.status, result.head.headers, result.body});
         return;
     }
-    auto call = context_.translator.decode_job_call(*request, !route.empty());
-    if (!call) {
-        answer(caller, job_outcome::invalid, {});
+    call->unreachable = owner;
+    const bool submits = !call->route.empty();
+    if (result.sent && submits && !misdirected) {
+        // What may have reached the owner may have been accepted.
+        context_.logger.write(kernel::log_level::info, "job_call_uncertain",
+                              {{"id", call->request.id},
+                               {"reason", result.reason},
+                               {"owner", owner.instance.value()}});
+        answer(call->caller, job_outcome::uncertain, no_owner_retry);
         return;
     }
-    if (auto* submission = std::get_if<submit_job>(&*call)) {
-        submission->job.team = team;
-        submission->job.route = route;
+    if (result.outcome == http::call_outcome::not_sent) {
+        context_.fleet.report_ended(owner.instance);
     }
-    handle_here(partition, team, *call, caller);
+    if (steady_clock::now() >= call->until || waiting_.size() >= settings_.waiting_max) {
+        refuse(*call, misdirected ? "the owner has changed" : result.reason);
+        return;
+    }
+    waiting_.push_back(call);
 }
 
 void job_service::leave(std::function<void()> done)
@@ -295,11 +389,7 @@
         if (--*left > 0 || !*alive) {
             return;
         }
-        if (!participates_) {
-            done();
-            return;
-        }
-        store_.leave(group_name, member_name_, [this, alive, done](const store_result<bool>&) {
+        group_.leave([this, alive, done] {
             if (*alive) {
                 partitions_.clear();
                 done();
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -41,7 +41,7 @@
                                  std::shared_ptr<http::responder> caller,
                                  std::function<void(const exchange_end&)> on_end)
     : context_(context), admitted_(std::move(request)), caller_(std::move(caller)),
-      on_end_(std::move(on_end)), begun_at_(steady_clock::now())
+      on_end_(std::move(on_end)), begun_at_(admitted_.received_at)
 {
     const caller_request& asked = admitted_.request;
     milliseconds limit = admitted_.route->timeout;
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -20,6 +20,7 @@
     const serving::route* route = nullptr;
     /// Empty for a route that needs no key.
     core::team_id team;
+    core::time_point received_at;
     /// The caller was refused before and will not come again.
     bool returning = false;
 };
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -393,6 +393,8 @@
         return read(in.getLeaderQuestion());
     case schema::Datagram::LEADER_HINT:
         return serving::leader_hint{read(in.getLeaderHint())};
+    case schema::Datagram::INSTANCE_ENDED:
+        return serving::instance_ended{core::instance_id(text(in.getInstanceEnded()))};
     }
     throw wire::conversion_error("datagram of an unknown kind");
 }
@@ -403,21 +405,21 @@
 {
     capnp::MallocMessageBuilder builder(64);
     auto out = builder.initRoot<schema::Datagram>();
-    std::visit(core::visitors{
-                   [&](const serving::slot_call& in) { write(out.initSlotCall(), in); },
-                   [&](const serving::slot_reply& in) { write(out.initSlotReply(), in); },
-                   [&](const serving::slot_waiting& in) { out.setSlotWaiting(in.number); },
-                   [&](const serving::slot_end& in) { write(out.initSlotEnd(), in); },
-                   [&](const serving::yield_order& in) { out.setYieldOrder(in.number); },
-                   [&](const serving::instance_report& in) { write(out.initReport(), in); },
-                   [&](const serving::fleet_digest& in) { write(out.initDigest(), in); },
-                   [&](const serving::fleet_update& in) { write(out.initUpdate(), in); },
-                   [&](const serving::leader_question& in) {
-                       write(out.initLeaderQuestion(), in);
-                   },
-                   [&](const serving::leader_hint& in) { write(out.initLeaderHint(), in.leader); },
-               },
-               message);
+    std::visit(
+        core::visitors{
+            [&](const serving::slot_call& in) { write(out.initSlotCall(), in); },
+            [&](const serving::slot_reply& in) { write(out.initSlotReply(), in); },
+            [&](const serving::slot_waiting& in) { out.setSlotWaiting(in.number); },
+            [&](const serving::slot_end& in) { write(out.initSlotEnd(), in); },
+            [&](const serving::yield_order& in) { out.setYieldOrder(in.number); },
+            [&](const serving::instance_report& in) { write(out.initReport(), in); },
+            [&](const serving::fleet_digest& in) { write(out.initDigest(), in); },
+            [&](const serving::fleet_update& in) { write(out.initUpdate(), in); },
+            [&](const serving::leader_question& in) { write(out.initLeaderQuestion(), in); },
+            [&](const serving::leader_hint& in) { write(out.initLeaderHint(), in.leader); },
+            [&](const serving::instance_ended& in) { out.setInstanceEnded(in.instance.value()); },
+        },
+        message);
     return wire::to_bytes(builder);
 }
 
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -149,6 +149,8 @@
     leaderQuestion @8 :LeaderQuestion;
     # The leader that the sender hears.
     leaderHint @9 :Member;
+    # Id of an instance whose process has ended.
+    instanceEnded @10 :Text;
   }
 }
 
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -73,6 +73,7 @@
     state.ready = report.ready;
     state.leaving = report.leaving;
     state.alive = true;
+    state.ended = false;
     state.silence_told = false;
     state.heard_at = now;
     state.reported_at = now;
@@ -94,8 +95,8 @@
             if (!state.alive) {
                 continue;
             }
-            const auto [position, added] = owners_.try_emplace(
-                owned.number, partition_owner{owned.number, owned.epoch, id});
+            const auto [position, added] =
+                owners_.try_emplace(owned.number, partition_owner{owned.number, owned.epoch, id});
             if (!added && owned.epoch > position->second.epoch) {
                 position->second = {owned.number, owned.epoch, id};
             }
@@ -116,13 +117,14 @@
     departures result;
     for (auto& [id, state] : members_) {
         const auto silence = now - state.heard_at;
-        if (silence <= interval * settings_.reports_missed) {
+        if (!state.ended && silence <= interval * settings_.reports_missed) {
             continue;
         }
         state.alive = false;
         if (!state.silence_told) {
             state.silence_told = true;
-            result.silent.push_back(state.member);
+            result.silent.push_back({state.member, !state.partitions.empty()});
+            state.partitions.clear();
         }
         if (silence > settings_.member_lifetime) {
             result.gone.push_back(state.member);
@@ -137,6 +139,14 @@
     return result;
 }
 
+void fleet_roster::note_ended(const core::instance_id& instance)
+{
+    const auto found = members_.find(instance);
+    if (found != members_.end() && instance != self_) {
+        found->second.ended = true;
+    }
+}
+
 std::vector<const fleet_block*> fleet_roster::take_missing(const core::instance_id& of,
                                                            core::time_point now)
 {
--- a/src/serving/fleet_roster.hpp
+++ b/src/serving/fleet_roster.hpp
@@ -64,11 +64,19 @@
     /// Instances that have fallen silent since the last look, and those that have gone for good and
     /// are forgotten.
     struct departures {
-        std::vector<fleet_member> silent;
+        struct silent_member {
+            fleet_member member;
+            /// It owned partitions of the batch jobs.
+            bool owner = false;
+        };
+        std::vector<silent_member> silent;
         std::vector<fleet_member> gone;
     };
     departures check_silence(std::chrono::milliseconds interval, core::time_point now);
 
+    /// An instance's process has ended: it counts as silent until it reports again.
+    void note_ended(const core::instance_id& instance);
+
     /// Blocks that an instance has to be told; they count as sent.
     std::vector<const fleet_block*> take_missing(const core::instance_id& of, core::time_point now);
 
@@ -105,6 +113,8 @@
         bool leaving = false;
         /// Its reports have come of late.
         bool alive = false;
+        /// Its process is known to have ended.
+        bool ended = false;
         /// It was told to be silent.
         bool silence_told = true;
         core::time_point heard_at;
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -127,8 +127,13 @@
     fleet_member leader;
 };
 
+/// Tells the leader that nothing listens at an instance's address: its process has ended.
+struct instance_ended {
+    core::instance_id instance;
+};
+
 using peer_message =
     std::variant<slot_call, slot_reply, slot_waiting, slot_end, yield_order, instance_report,
-                 fleet_digest, fleet_update, leader_question, leader_hint>;
+                 fleet_digest, fleet_update, leader_question, leader_hint, instance_ended>;
 
 } // namespace gooseberryfall::serving
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -127,7 +127,7 @@
     settings.self.started_at = 1'000'000 + ++starts_;
     settings.readiness_address = readiness_address(instance);
     settings.directory_address = directory_address(instance);
-    settings.jobs.topics = 1;
+    settings.jobs.group.topics = 1;
     settings.jobs.partitions = 2;
     settings.jobs.partition.results_kept = options_.results_kept;
     settings.jobs.partition.results_kept_margin = milliseconds(0);
--- a/tests/serving/fleet_view_test.cpp
+++ b/tests/serving/fleet_view_test.cpp
@@ -169,7 +169,8 @@
     roster.take_report(member(0).id, report(0), start + milliseconds(700));
     const auto departures = roster.check_silence(interval, start + milliseconds(700));
     cr_assert_eq(departures.silent.size(), 1U);
-    cr_assert(departures.silent.front().id == member(1).id);
+    cr_assert(departures.silent.front().member.id == member(1).id);
+    cr_assert(departures.silent.front().owner);
     cr_assert_eq(roster.ready().size(), 1U);
     cr_assert_null(roster.owner_of(4));
     cr_assert(roster.check_silence(interval, start + milliseconds(720)).silent.empty());
