serving: no wait for entries of ended processes in a search for a leader

Ruled out: the store (state and partitions were read within 0.15 s). A new leader tells of the fleet after 60 ms.

--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -19,8 +19,9 @@
 /// Changes are told at most this often, so that many at once make few messages.
 constexpr milliseconds change_interval{60};
 
-/// A new leader waits for this many reports of each instance before it tells of the fleet.
-constexpr int reports_before_updates = 2;
+/// A new leader waits for this long before it tells of the fleet: the others report as soon as they
+/// hear it, within a round trip and a tick.
+constexpr milliseconds first_reports{60};
 
 /// Blocks in one datagram: some 8 kB, which links take without a queue.
 constexpr std::size_t update_blocks_max = 4;
@@ -307,7 +308,7 @@
 {
     placement_.restart(settings_.tolerance, now);
     learns_until_ = now + settings_.learning_time;
-    updates_from_ = now + leadership_.interval() * reports_before_updates;
+    updates_from_ = now + first_reports;
     roster_.begin(now);
     if (!targets_.empty()) {
         use_targets(targets_);
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -58,10 +58,11 @@
     return std::min(static_cast<std::size_t>(before), settings_.steps_max);
 }
 
-void leadership::search_from(core::time_point begin)
+void leadership::search(core::time_point now)
 {
     leader_.reset();
-    searching_since_ = begin;
+    searching_since_ = now;
+    resigned_ = false;
     hint_at_.reset();
 }
 
@@ -76,8 +77,9 @@
     const bool is_leader = leader_ && leader_->id == from.id;
     if (resigning) {
         if (is_leader) {
+            search(now);
             // All others hear of it now, too: nobody has to be asked.
-            search_from(now - settings_.search);
+            resigned_ = true;
         }
         return;
     }
@@ -123,7 +125,9 @@
     if (hinted || better_candidate(fit, now)) {
         return false;
     }
-    auto wait = settings_.search + settings_.step * static_cast<int>(position());
+    auto wait = resigned_
+                    ? settings_.step * static_cast<int>(position())
+                    : settings_.search + (position() > 0 ? settings_.search_step : milliseconds(0));
     // Once others are heard, a fit one among them is a better candidate.
     if (!fit && candidates_.empty()) {
         wait += settings_.unfit_delay;
@@ -141,7 +145,7 @@
     if (leads_) {
         if (paused || others_know_more) {
             leads_ = false;
-            search_from(now);
+            search(now);
         }
         return;
     }
@@ -154,7 +158,7 @@
         return;
     }
     if (leader_ && now - heard_at_ > silence()) {
-        search_from(now);
+        search(now);
     }
     if (searching_since_ && is_time_to_lead(fit, now)) {
         leads_ = true;
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -40,12 +40,16 @@
     double silence_intervals = 2.5;
     /// Time in which whoever knows a leader answers a search, several round trips in a region.
     std::chrono::milliseconds search{80};
+    /// Added to a search by whoever is not the first one of the registered instances. Not more for
+    /// each: after all have ended, most entries that rank first are those of ended processes.
+    std::chrono::milliseconds search_step{20};
     /// Between two rounds of questions in a search.
     std::chrono::milliseconds question_interval{20};
     /// Instances that are asked in a round: those that rank first, and others in turn.
     std::size_t questions_first = 8;
     std::size_t questions_in_turn = 8;
-    /// Added for each instance that ranks before this one, so that one of them comes first.
+    /// After a leader has said that it goes, nobody asks: each instance waits this long for each
+    /// registered one that ranks before it.
     std::chrono::milliseconds step{30};
     /// Instances that count for the step; most of those further down may be long gone.
     std::size_t steps_max = 10;
@@ -127,7 +131,7 @@
     std::size_t position() const;
     bool better_candidate(bool fit, core::time_point now) const;
     bool is_time_to_lead(bool fit, core::time_point now) const;
-    void search_from(core::time_point begin);
+    void search(core::time_point now);
 
     fleet_member self_;
     leadership_settings settings_;
@@ -142,6 +146,8 @@
     core::time_point ticked_at_;
     /// Since when a leader is searched for; unset while there is one.
     std::optional<core::time_point> searching_since_;
+    /// The leader before has said that it goes.
+    bool resigned_ = false;
     std::map<core::instance_id, candidate> candidates_;
     std::optional<core::time_point> hint_at_;
     core::time_point asked_at_{};
