serving: what is left of the limits after a restart of all instances

Change: reports carry the uptime. If most instances have told, ended ones are estimated by the others; if all have started again, each team has what the contract tolerates above a limit that it may have spent, and what it has earned since. call_denied logs team, rate, burst and level.

--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -115,6 +115,11 @@
                                                     store_read_at_.value_or(core::time_point()));
 }
 
+milliseconds fleet_service::uptime(core::time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - started_at_);
+}
+
 bool fleet_service::is_fit(core::time_point now) const
 {
     return store_age(now) < settings_.store_silence;
@@ -189,10 +194,16 @@
         return;
     }
     const serving::scheduler_state state = placement_.slots().state();
+    const auto team =
+        placement_.team_of({to, reply->number}).value_or(serving::fleet_placement::denied_team());
     logger_.write(kernel::log_level::info, "call_denied",
                   {{"call", std::to_string(reply->number)},
                    {"instance", to.value()},
                    {"reason", serving::to_text(denied->reason)},
+                   {"team", team.team.value()},
+                   {"rate", std::to_string(team.bucket.limit.rate)},
+                   {"burst", std::to_string(team.bucket.limit.burst)},
+                   {"level", std::to_string(team.bucket.level)},
                    {"slots", std::to_string(state.slots)},
                    {"online_running", std::to_string(state.online_running)},
                    {"batch_running", std::to_string(state.batch_running)},
@@ -321,16 +332,18 @@
 
 void fleet_service::learn_spending(core::time_point now)
 {
-    if (!learns_until_ || now < *learns_until_) {
+    const bool told = now >= updates_from_ && roster_.most_have_reported();
+    if (!learns_until_ || (!told && now < *learns_until_)) {
         return;
     }
     learns_until_.reset();
-    const serving::spending spent = roster_.spent(callbacks_.condition().spent,
-                                                  now - started_at_ >= settings_.tolerance.window);
-    placement_.learn_spending(spent.spent, spent.complete, settings_.tolerance, now);
+    const serving::spending spent =
+        roster_.spent(callbacks_.condition().spent, uptime(now), settings_.tolerance.window);
+    placement_.learn_spending(spent, settings_.tolerance, now);
     logger_.write(kernel::log_level::info, "limits_learnt",
                   {{"instances", std::to_string(spent.instances)},
-                   {"complete", spent.complete ? "yes" : "no"}});
+                   {"scope", serving::to_text(spent.scope)},
+                   {"since_restart_ms", std::to_string(spent.since_restart.count())}});
 }
 
 void fleet_service::check_members(core::time_point now)
@@ -434,7 +447,7 @@
     report.partitions = std::move(own.partitions);
     report.runs = std::move(own.runs);
     report.spent = std::move(own.spent);
-    report.spent_is_complete = now - started_at_ >= settings_.tolerance.window;
+    report.uptime = uptime(now);
     report.held_blocks = view_.marks();
     return report;
 }
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -159,6 +159,7 @@
     double limit_share() const;
     void note_fleet_read(core::time_point at);
     std::chrono::milliseconds store_age(core::time_point now) const;
+    std::chrono::milliseconds uptime(core::time_point now) const;
     /// Whether this instance can read the store.
     bool is_fit(core::time_point now) const;
     bool others_know_more() const;
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -190,7 +190,7 @@
         spent[index].setCount(count);
         ++index;
     }
-    out.setSpentIsComplete(in.spent_is_complete);
+    out.setUptimeMs(to_wire(in.uptime));
     auto held = out.initHeldBlocks(static_cast<unsigned>(in.held_blocks.size()));
     for (unsigned position = 0; position < in.held_blocks.size(); ++position) {
         const serving::block_mark& mark = in.held_blocks[position];
@@ -218,7 +218,7 @@
     for (const auto entry : in.getSpent()) {
         out.spent[core::team_id(text(entry.getTeam()))] = entry.getCount();
     }
-    out.spent_is_complete = in.getSpentIsComplete();
+    out.uptime = milliseconds(in.getUptimeMs());
     constexpr auto last_kind = static_cast<std::uint8_t>(serving::block_kind::targets);
     for (const auto mark : in.getHeldBlocks()) {
         const auto kind = static_cast<serving::block_kind>(std::min(mark.getKind(), last_kind));
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -87,7 +87,7 @@
   runs @5 :List(Run);
   storeAgeMs @6 :Int32;
   spent @7 :List(TeamCount);
-  spentIsComplete @8 :Bool;
+  uptimeMs @8 :Int32;
   heldBlocks @9 :List(BlockMark);
 }
 
--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -82,6 +82,16 @@
     return entry;
 }
 
+std::optional<fleet_placement::denied_team> fleet_placement::team_of(const run_key& key) const
+{
+    const auto known = calls_.find(key);
+    if (known == calls_.end()) {
+        return std::nullopt;
+    }
+    const auto bucket = limits_.state_of(known->second.team);
+    return denied_team{known->second.team, bucket.value_or(team_limits::bucket_state())};
+}
+
 std::vector<addressed_message> fleet_placement::on_call(const slot_call& call, core::time_point now)
 {
     const run_key& key = call.question.key;
--- a/src/serving/fleet_placement.hpp
+++ b/src/serving/fleet_placement.hpp
@@ -36,12 +36,19 @@
     void restart(const limit_tolerance& tolerance, core::time_point now);
 
     /// Learns what was spent before; see `team_limits::learn`.
-    void learn_spending(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
+    void learn_spending(const spending& spent, const limit_tolerance& tolerance,
                         core::time_point now)
     {
-        limits_.learn(spent, complete, tolerance, now);
+        limits_.learn(spent, tolerance, now);
     }
 
+    /// Team of a call that was refused, with its bucket, for logs. Empty if it is not remembered.
+    struct denied_team {
+        core::team_id team;
+        team_limits::bucket_state bucket;
+    };
+    std::optional<denied_team> team_of(const run_key& key) const;
+
     /// Sets the part of the limits that is given out here.
     void set_limit_share(double share, core::time_point now) { limits_.set_share(share, now); }
 
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleet_roster.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberryfall::serving {
 
@@ -79,7 +80,7 @@
     state.reported_at = now;
     state.store_read_at = now - report.store_age;
     state.spent = report.spent;
-    state.spent_is_complete = report.spent_is_complete;
+    state.uptime = report.uptime;
     state.partitions = report.partitions;
     state.held = report.held_blocks;
     if (changed) {
@@ -179,24 +180,67 @@
     return static_cast<double>(living()) / static_cast<double>(others().size() + 1);
 }
 
-spending fleet_roster::spent(const team_counts& own, bool own_is_complete) const
+spending fleet_roster::spent(const team_counts& own, std::chrono::milliseconds uptime,
+                             std::chrono::milliseconds window) const
 {
-    spending result{own, own_is_complete, 1};
+    using std::chrono::milliseconds;
+    spending result;
+    std::map<core::team_id, double> sums;
+    // Time in the window of which the processes that have told know, and do not know.
+    double known = 0;
+    double unknown = 0;
+    milliseconds oldest{0};
+    const auto add = [&](const team_counts& counts, milliseconds running) {
+        ++result.instances;
+        oldest = std::max(oldest, running);
+        const double told = std::min(1.0, std::chrono::duration<double>(running) / window);
+        known += told;
+        unknown += 1.0 - told;
+        for (const auto& [team, count] : counts) {
+            sums[team] += count;
+        }
+    };
+    add(own, uptime);
     for (const auto& [id, state] : members_) {
-        if (id == self_ || !state.reported_at) {
+        if (id == self_) {
             continue;
         }
-        ++result.instances;
-        result.complete = result.complete && state.spent_is_complete;
-        for (const auto& [team, count] : state.spent) {
-            result.spent[team] += count;
+        if (state.reported_at) {
+            add(state.spent, state.uptime);
+        }
+        else {
+            unknown += 1.0;
         }
     }
-    // One that died with its counts, such as the leader before, has sent a small part of all.
-    result.complete = result.complete && result.instances * 2 > others().size() + 1;
+    if (oldest < window) {
+        result.scope = spending_scope::restart;
+        result.since_restart = oldest;
+        unknown = 0;
+    }
+    else if (most_have_reported()) {
+        result.scope = spending_scope::window;
+    }
+    // Processes that have ended have spent as much as the others in the same time.
+    const double factor = known > 0 ? 1.0 + unknown / known : 1.0;
+    for (const auto& [team, sum] : sums) {
+        result.spent[team] = static_cast<std::uint32_t>(std::lround(sum * factor));
+    }
     return result;
 }
 
+bool fleet_roster::most_have_reported() const
+{
+    std::size_t told = 1;
+    std::size_t all = 1;
+    for (const auto& [id, state] : members_) {
+        if (id != self_) {
+            ++all;
+            told += state.reported_at ? 1 : 0;
+        }
+    }
+    return told * 2 > all;
+}
+
 std::optional<core::time_point> fleet_roster::others_read_at() const
 {
     std::optional<core::time_point> latest;
--- a/src/serving/fleet_roster.hpp
+++ b/src/serving/fleet_roster.hpp
@@ -23,15 +23,6 @@
     std::chrono::milliseconds block_resend{250};
 };
 
-/// What the teams have spent of their limits in the last window, as far as it is known.
-struct spending {
-    team_counts spent;
-    /// Nothing else was spent.
-    bool complete = false;
-    /// Instances that have told.
-    std::size_t instances = 0;
-};
-
 /// All instances by their registrations and reports: who lives, who takes callers, who owns which
 /// job partitions, and what each of them has been told of the fleet. Deterministic; not
 /// thread-safe.
@@ -87,8 +78,13 @@
     /// part of the limits.
     double living_share() const;
 
-    /// What the instances have reported as spent, beside `own`.
-    spending spent(const team_counts& own, bool own_is_complete) const;
+    /// What the instances have reported as spent in the last `window`, beside `own`, which this
+    /// instance has spent in its `uptime`.
+    spending spent(const team_counts& own, std::chrono::milliseconds uptime,
+                   std::chrono::milliseconds window) const;
+
+    /// Whether most of the instances have reported to this one as the leader.
+    bool most_have_reported() const;
 
     /// When any other living instance has read the store last, by the reports.
     std::optional<core::time_point> others_read_at() const;
@@ -123,7 +119,7 @@
         /// When it has read the store last.
         core::time_point store_read_at;
         team_counts spent;
-        bool spent_is_complete = false;
+        std::chrono::milliseconds uptime{0};
         std::vector<owned_partition> partitions;
         /// Blocks that it holds, by its last report.
         std::vector<block_mark> held;
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -87,10 +87,10 @@
     /// Job partitions that it owns.
     std::vector<owned_partition> partitions;
     std::vector<reported_run> runs;
-    /// Requests that it has sent in the last window of the limits, and whether it has run for that
-    /// long.
+    /// Requests that it has sent in the last window of the limits.
     team_counts spent;
-    bool spent_is_complete = false;
+    /// Time since its start.
+    std::chrono::milliseconds uptime{0};
     /// Blocks of the leader's view that it has.
     std::vector<block_mark> held_blocks;
 };
--- a/src/serving/team_limits.cpp
+++ b/src/serving/team_limits.cpp
@@ -13,8 +13,28 @@
 /// A bucket below one request could never give out anything.
 constexpr double least_burst = 1.0;
 
+/// Requests above a limit that are tolerated in a window.
+double tolerated(const team_limit& limit, const limit_tolerance& tolerance)
+{
+    const double window = std::chrono::duration<double>(tolerance.window).count();
+    return (limit.rate * window + limit.burst) * tolerance.overage + tolerance.slack;
+}
+
 } // namespace
 
+const char* to_text(spending_scope scope)
+{
+    switch (scope) {
+    case spending_scope::part:
+        return "part";
+    case spending_scope::window:
+        return "window";
+    case spending_scope::restart:
+        return "restart";
+    }
+    return "unknown";
+}
+
 void team_limits::fill(bucket& from, core::time_point now) const
 {
     const double seconds = std::chrono::duration<double>(now - from.filled_at).count();
@@ -54,35 +74,44 @@
     }
 }
 
-double team_limits::starting_level(const bucket& of, const limit_tolerance& tolerance) const
-{
-    const double seconds = std::chrono::duration<double>(tolerance.window).count();
-    const double allowed = of.limit.rate * seconds + of.limit.burst;
-    // Half, so that two changes of the leader in one window stay within it.
-    const double tolerated = (allowed * tolerance.overage + tolerance.slack) / 2;
-    return std::min(of.limit.burst, tolerated) * share_;
-}
-
 void team_limits::restart(const limit_tolerance& tolerance, core::time_point now)
 {
     for (auto& [team, entry] : buckets_) {
-        entry.level = starting_level(entry, tolerance);
+        // Half, so that two changes of the leader in one window stay within it.
+        entry.level = std::min(entry.limit.burst, tolerated(entry.limit, tolerance) / 2) * share_;
         entry.filled_at = now;
     }
 }
 
-void team_limits::learn(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
+void team_limits::learn(const spending& spent, const limit_tolerance& tolerance,
                         core::time_point now)
 {
-    const double seconds = std::chrono::duration<double>(tolerance.window).count();
+    const double window = std::chrono::duration<double>(tolerance.window).count();
+    const double restarted = std::chrono::duration<double>(spent.since_restart).count();
     for (auto& [team, entry] : buckets_) {
         fill(entry, now);
-        const auto found = spent.find(team);
-        const double used = found == spent.end() ? 0 : found->second;
-        const double left = (entry.limit.burst + entry.limit.rate * seconds) * share_ - used;
-        const double most = complete ? entry.limit.burst * share_ : entry.level;
-        entry.level = std::clamp(left, 0.0, most);
+        const team_limit& limit = entry.limit;
+        double allowed = limit.burst + limit.rate * window;
+        double most = limit.burst * share_;
+        if (spent.scope == spending_scope::part) {
+            most = entry.level;
+        }
+        else if (spent.scope == spending_scope::restart) {
+            allowed = std::min(limit.burst, tolerated(limit, tolerance)) + limit.rate * restarted;
+        }
+        const auto found = spent.spent.find(team);
+        const double used = found == spent.spent.end() ? 0 : found->second;
+        entry.level = std::clamp(allowed * share_ - used, 0.0, most);
+    }
+}
+
+std::optional<team_limits::bucket_state> team_limits::state_of(const core::team_id& team) const
+{
+    const auto found = buckets_.find(team);
+    if (found == buckets_.end()) {
+        return std::nullopt;
     }
+    return bucket_state{found->second.limit, found->second.level};
 }
 
 std::optional<std::chrono::milliseconds> team_limits::take(const core::team_id& team,
--- a/src/serving/team_limits.hpp
+++ b/src/serving/team_limits.hpp
@@ -31,6 +31,29 @@
 /// Requests of each team.
 using team_counts = std::map<core::team_id, std::uint32_t>;
 
+/// What is known of the requests that were sent in the last window.
+enum class spending_scope {
+    /// Those of some instances only.
+    part,
+    /// About all of them.
+    window,
+    /// All since every instance has started again.
+    restart,
+};
+
+/// Text form for logs. Thread-safe.
+const char* to_text(spending_scope scope);
+
+/// Requests that the teams have sent in the last window, as far as known.
+struct spending {
+    team_counts spent;
+    spending_scope scope = spending_scope::part;
+    /// Time since the first of the instances has started again, if all have.
+    std::chrono::milliseconds since_restart{0};
+    /// Instances that have told.
+    std::size_t instances = 0;
+};
+
 /// Token buckets of all teams at the instance that places the requests of the whole fleet.
 /// Deterministic; not thread-safe.
 class team_limits {
@@ -50,10 +73,17 @@
     /// tolerated above the limit.
     void restart(const limit_tolerance& tolerance, core::time_point now);
 
-    /// Fills the buckets by what was spent in the last window. `complete`: nothing else was.
-    /// Otherwise no bucket is filled beyond its level at the start.
-    void learn(const team_counts& spent, bool complete, const limit_tolerance& tolerance,
-               core::time_point now);
+    /// Fills the buckets by what was spent in the last window. If only a part is known, no bucket
+    /// is filled beyond its level at the start. After a restart of all instances each team may have
+    /// spent its limit before; what is tolerated above it and what has been earned since is left.
+    void learn(const spending& spent, const limit_tolerance& tolerance, core::time_point now);
+
+    /// A team's bucket, for logs.
+    struct bucket_state {
+        team_limit limit;
+        double level = 0;
+    };
+    std::optional<bucket_state> state_of(const core::team_id& team) const;
 
     /// Takes one request out of a team's bucket, or returns the time until there is one.
     std::optional<std::chrono::milliseconds> take(const core::team_id& team, core::time_point now);
@@ -69,7 +99,6 @@
     };
 
     void fill(bucket& from, core::time_point now) const;
-    double starting_level(const bucket& of, const limit_tolerance& tolerance) const;
 
     double share_;
     std::map<core::team_id, bucket> buckets_;
