serving: spare requests within the limits' window, planned returns of refused callers

Change: a request beyond the bucket is admitted if the window allows it and a slot can be had at once; refused callers of a team get the moments of its tokens, one each.

--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -109,8 +109,13 @@
                 slot_reply{key.number, slot_denied{call_refusal::crashes_targets, delay}};
             return {{key.instance, *entry.refused}};
         }
-        if (const auto delay = limits_.take(call.team, now)) {
-            entry.refused = slot_reply{key.number, slot_denied{call_refusal::over_limit, *delay}};
+        const bool within_rate = limits_.take(call.team, now);
+        const bool admitted = within_rate || (slots_.can_place(call.question, now) &&
+                                              limits_.take_spare(call.team, now));
+        if (!admitted) {
+            const milliseconds delay =
+                limits_.plan_return(call.team, now, patience_of(call.question));
+            entry.refused = slot_reply{key.number, slot_denied{call_refusal::over_limit, delay}};
             return {{key.instance, *entry.refused}};
         }
     }
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -43,6 +43,18 @@
 
 } // namespace
 
+milliseconds patience_of(const slot_question& question)
+{
+    return question.until_end / patience_divisor;
+}
+
+bool slot_scheduler::can_place(const slot_question& question, core::time_point now)
+{
+    lane& of = lane_of(question.service);
+    return of.online.empty() && (choose_target(of, question, now) != nullptr ||
+                                 choose_victim(of, question, now).has_value());
+}
+
 void slot_scheduler::set_targets(const std::vector<target_entry>& targets)
 {
     targets_known_ = true;
@@ -222,8 +234,8 @@
 {
     const double duration = of.online_duration == 0 ? 1000.0 : of.online_duration;
     const auto slots = static_cast<double>(std::max<std::size_t>(1, usable_slots(of, now)));
-    const milliseconds patience = question.until_end / patience_divisor;
-    const milliseconds delay = of.returns.plan(now, from_milliseconds(duration / slots), patience);
+    const milliseconds delay =
+        of.returns.plan(now, from_milliseconds(duration / slots), patience_of(question));
     out.emplace_back(slot_refusal{question.key, reason, delay});
 }
 
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -48,6 +48,9 @@
     std::vector<core::target_id> excluded;
 };
 
+/// Longest delay that a caller honours before it comes back. Thread-safe.
+std::chrono::milliseconds patience_of(const slot_question& question);
+
 /// A slot is free for the work.
 struct slot_grant {
     run_key key;
@@ -161,6 +164,9 @@
     /// Asks for a slot. A repeated question gets the same grant again.
     slot_decisions ask(const slot_question& question, core::time_point now);
 
+    /// Whether an online request would get a slot at once, though others wait for none.
+    bool can_place(const slot_question& question, core::time_point now);
+
     /// The work does not need a slot any more and has none.
     void withdraw(const run_key& key);
 
--- a/src/serving/team_limits.cpp
+++ b/src/serving/team_limits.cpp
@@ -10,6 +10,9 @@
 /// Sums of small parts fall short of a whole request by rounding only.
 constexpr double rounding = 1e-9;
 
+/// Steps in which a sliding window moves on.
+constexpr int steps_in_window = 50;
+
 /// A bucket below one request could never give out anything.
 constexpr double least_burst = 1.0;
 
@@ -35,6 +38,34 @@
     return "unknown";
 }
 
+void sliding_count::add(core::time_point now, std::chrono::milliseconds window)
+{
+    if (steps_.empty() || now - steps_.back().begin >= window / steps_in_window) {
+        count(now, window);
+        steps_.push_back({now, 0});
+    }
+    ++steps_.back().events;
+    ++total_;
+}
+
+void sliding_count::remove_newest()
+{
+    if (!steps_.empty() && steps_.back().events > 0) {
+        --steps_.back().events;
+        --total_;
+    }
+}
+
+std::uint32_t sliding_count::count(core::time_point now, std::chrono::milliseconds window)
+{
+    // A step counts until its last moment has left the window.
+    while (!steps_.empty() && now - steps_.front().begin > window + window / steps_in_window) {
+        total_ -= steps_.front().events;
+        steps_.pop_front();
+    }
+    return total_;
+}
+
 void team_limits::fill(bucket& from, core::time_point now) const
 {
     const double seconds = std::chrono::duration<double>(now - from.filled_at).count();
@@ -50,7 +81,9 @@
         const auto [position, added] = buckets_.try_emplace(team);
         bucket& entry = position->second;
         if (added) {
-            entry = {limit, limit.burst * share_, now};
+            entry.limit = limit;
+            entry.level = limit.burst * share_;
+            entry.filled_at = now;
             continue;
         }
         // What was earned by the old limit counts up to the new one's burst.
@@ -76,7 +109,10 @@
 
 void team_limits::restart(const limit_tolerance& tolerance, core::time_point now)
 {
+    window_ = tolerance.window;
+    counted_since_ = now;
     for (auto& [team, entry] : buckets_) {
+        entry.sent = sliding_count();
         // Half, so that two changes of the leader in one window stay within it.
         entry.level = std::min(entry.limit.burst, tolerated(entry.limit, tolerance) / 2) * share_;
         entry.filled_at = now;
@@ -114,21 +150,49 @@
     return bucket_state{found->second.limit, found->second.level};
 }
 
-std::optional<std::chrono::milliseconds> team_limits::take(const core::team_id& team,
-                                                           core::time_point now)
+bool team_limits::take(const core::team_id& team, core::time_point now)
 {
     const auto found = buckets_.find(team);
     if (found == buckets_.end() || found->second.limit.rate <= 0) {
-        return std::nullopt;
+        return true;
     }
     bucket& entry = found->second;
     fill(entry, now);
-    if (entry.level >= 1.0 - rounding) {
-        entry.level -= 1.0;
-        return std::nullopt;
+    if (entry.level < 1.0 - rounding) {
+        return false;
     }
-    const double seconds = (1.0 - entry.level) / (entry.limit.rate * share_);
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(seconds * 1000)));
+    entry.level -= 1.0;
+    entry.sent.add(now, window_);
+    return true;
+}
+
+bool team_limits::take_spare(const core::team_id& team, core::time_point now)
+{
+    const auto found = buckets_.find(team);
+    if (found == buckets_.end() || !counted_since_ || now - *counted_since_ < window_) {
+        return false;
+    }
+    bucket& entry = found->second;
+    const double window = std::chrono::duration<double>(window_).count();
+    const double allowed = (entry.limit.rate * window + entry.limit.burst) * share_;
+    if (entry.sent.count(now, window_) + 1.0 > allowed) {
+        return false;
+    }
+    entry.sent.add(now, window_);
+    return true;
+}
+
+std::chrono::milliseconds team_limits::plan_return(const core::team_id& team, core::time_point now,
+                                                   std::chrono::milliseconds patience)
+{
+    const auto found = buckets_.find(team);
+    if (found == buckets_.end() || found->second.limit.rate <= 0) {
+        return std::chrono::milliseconds(0);
+    }
+    bucket& entry = found->second;
+    const auto interval = std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double>(1.0 / (entry.limit.rate * share_)));
+    return entry.returns.plan(now, interval, patience);
 }
 
 void team_limits::give_back(const core::team_id& team, core::time_point now)
@@ -138,6 +202,7 @@
         fill(found->second, now);
         found->second.level += 1.0;
         fill(found->second, now);
+        found->second.sent.remove_newest();
     }
 }
 
--- a/src/serving/team_limits.hpp
+++ b/src/serving/team_limits.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/types.hpp"
+#include "serving/return_planner.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -54,8 +56,31 @@
     std::size_t instances = 0;
 };
 
-/// Token buckets of all teams at the instance that places the requests of the whole fleet.
-/// Deterministic; not thread-safe.
+/// Counts events in a sliding window, to within a fiftieth of it. Deterministic; not thread-safe.
+class sliding_count {
+public:
+    void add(core::time_point now, std::chrono::milliseconds window);
+    /// Takes the newest event back.
+    void remove_newest();
+    std::uint32_t count(core::time_point now, std::chrono::milliseconds window);
+
+private:
+    struct step {
+        core::time_point begin;
+        std::uint32_t events = 0;
+    };
+
+    std::deque<step> steps_;
+    std::uint32_t total_ = 0;
+};
+
+/// Limits of all teams at the instance that places the requests of the whole fleet.
+///
+/// Load pattern: the requests of a team come in steps, above its rate for some seconds and below it
+/// for some. A token bucket admits what the rate earns and one burst. What the contract's window
+/// allows beyond that is admitted as spare: only if it needs no wait and so delays no other team.
+/// Refused callers get the moments at which tokens will be there, one each. Deterministic; not
+/// thread-safe.
 class team_limits {
 public:
     /// `share` is the part of each limit that this instance may give out: 1 where it places for the
@@ -85,8 +110,16 @@
     };
     std::optional<bucket_state> state_of(const core::team_id& team) const;
 
-    /// Takes one request out of a team's bucket, or returns the time until there is one.
-    std::optional<std::chrono::milliseconds> take(const core::team_id& team, core::time_point now);
+    /// Takes one request out of a team's bucket, if there is one. A team without a limit always has
+    /// one.
+    bool take(const core::team_id& team, core::time_point now);
+
+    /// Takes a request beyond the bucket, if the window that is counted allows it.
+    bool take_spare(const core::team_id& team, core::time_point now);
+
+    /// When a refused caller that honours delays of up to `patience` shall come back.
+    std::chrono::milliseconds plan_return(const core::team_id& team, core::time_point now,
+                                          std::chrono::milliseconds patience);
 
     /// Puts a request back that certainly did not run.
     void give_back(const core::team_id& team, core::time_point now);
@@ -96,11 +129,17 @@
         team_limit limit;
         double level = 0;
         core::time_point filled_at;
+        sliding_count sent;
+        return_planner returns;
     };
 
     void fill(bucket& from, core::time_point now) const;
 
     double share_;
+    /// Window of the limits, and since when all requests in it are counted here; unset before the
+    /// first restart.
+    std::chrono::milliseconds window_{0};
+    std::optional<core::time_point> counted_since_;
     std::map<core::team_id, bucket> buckets_;
 };
 
--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <deque>
+#include <set>
+
 namespace core = gooseberryfall::core;
 namespace serving = gooseberryfall::serving;
 using std::chrono::milliseconds;
@@ -17,7 +20,7 @@
     int count = 0;
     const milliseconds step(1000 / per_second);
     for (core::time_point now = from; now < from + length; now += step) {
-        count += limits.take(team, now) ? 0 : 1;
+        count += limits.take(team, now) ? 1 : 0;
     }
     return count;
 }
@@ -62,7 +65,7 @@
     cr_assert_eq(taken(limits, start, seconds(1), 1000), 40 + 39);
     int flood = 0;
     for (core::time_point now = start; now < start + seconds(1); now += milliseconds(1)) {
-        flood += limits.take(flooding, now) ? 0 : 1;
+        flood += limits.take(flooding, now) ? 1 : 0;
     }
     cr_assert_leq(flood, 40, "it has spent its burst");
 }
@@ -101,7 +104,7 @@
     spent.spent = {{team, 3}};
     restarted.learn(spent, tolerance, back);
     int first = 0;
-    while (!restarted.take(team, back)) {
+    while (restarted.take(team, back)) {
         ++first;
     }
     cr_assert_geq(first, 40);
@@ -144,12 +147,12 @@
 {
     serving::team_limits limits;
     limits.set({{team, {1, 1}}}, start);
-    cr_assert_not(limits.take(team, start).has_value());
-    const auto wait = limits.take(team, start);
-    cr_assert(wait.has_value());
-    cr_assert_leq(wait->count(), 1000);
+    cr_assert(limits.take(team, start));
+    cr_assert_not(limits.take(team, start));
+    const auto wait = limits.plan_return(team, start, milliseconds(1000));
+    cr_assert_leq(wait.count(), 1000);
     limits.give_back(team, start);
-    cr_assert_not(limits.take(team, start).has_value());
+    cr_assert(limits.take(team, start));
 }
 
 // Guards against refusals of teams without a limit.
@@ -159,3 +162,56 @@
     limits.set({{team, {0, 0}}}, start);
     cr_assert_eq(taken(limits, start, seconds(1), 100), 100);
 }
+
+// Replays a team in steps: three seconds below its rate, two above it. Guards against refusals of
+// what the contract's window allows while slots are free, and against more than that.
+Test(team_limits, what_the_window_allows_is_spare)
+{
+    const serving::limit_tolerance tolerance{seconds(5), 0.1, 20};
+    serving::team_limits limits;
+    limits.set({{team, {16, 16}}}, start);
+    limits.restart(tolerance, start);
+    std::deque<core::time_point> sent;
+    int refused = 0;
+    for (milliseconds at{0}; at < seconds(30); at += milliseconds(10)) {
+        const core::time_point now = start + at;
+        const bool high = at.count() % 5200 >= 3000;
+        if (at.count() % (high ? 30 : 200) != 0) {
+            continue;
+        }
+        if (limits.take(team, now) || limits.take_spare(team, now)) {
+            sent.push_back(now);
+        }
+        else if (at > seconds(6)) {
+            ++refused;
+        }
+        while (now - sent.front() > seconds(5)) {
+            sent.pop_front();
+        }
+        cr_assert_leq(sent.size(), 16U * 5 + 16U);
+    }
+    cr_assert_eq(refused, 0, "%d refused", refused);
+}
+
+// Guards against spare requests of a new leader, which does not know the window before it.
+Test(team_limits, a_new_leader_has_nothing_to_spare)
+{
+    serving::team_limits limits;
+    limits.set({{team, {16, 16}}}, start);
+    limits.restart({seconds(5), 0.1, 20}, start);
+    cr_assert_not(limits.take_spare(team, start + seconds(4)));
+    cr_assert(limits.take_spare(team, start + seconds(5)));
+}
+
+// Guards against refused callers of one team that all come back for the same token.
+Test(team_limits, returns_are_spread)
+{
+    serving::team_limits limits;
+    limits.set({{team, {16, 16}}}, start);
+    std::set<milliseconds> delays;
+    for (int caller = 0; caller < 12; ++caller) {
+        delays.insert(limits.plan_return(team, start, milliseconds(1600)));
+    }
+    cr_assert_eq(delays.size(), 12U);
+    cr_assert_geq((*delays.rbegin()).count(), 1000);
+}
