serving: hold the limits' window when spare requests have used it up

The bucket went on to admit requests after spare ones had filled the window. Ruled out: a change of the leader, requests placed without it (none in the log). Change: a bucket admits nothing beyond the window.

--- a/src/serving/team_limits.cpp
+++ b/src/serving/team_limits.cpp
@@ -158,7 +158,8 @@
     }
     bucket& entry = found->second;
     fill(entry, now);
-    if (entry.level < 1.0 - rounding) {
+    // Spare requests may have used the window up.
+    if (entry.level < 1.0 - rounding || (counted_since_ && !window_has_room(entry, now))) {
         return false;
     }
     entry.level -= 1.0;
@@ -166,6 +167,13 @@
     return true;
 }
 
+bool team_limits::window_has_room(bucket& of, core::time_point now) const
+{
+    const double window = std::chrono::duration<double>(window_).count();
+    const double allowed = (of.limit.rate * window + of.limit.burst) * share_;
+    return of.sent.count(now, window_) + 1.0 <= std::max(least_burst, allowed) + rounding;
+}
+
 bool team_limits::take_spare(const core::team_id& team, core::time_point now)
 {
     const auto found = buckets_.find(team);
@@ -173,9 +181,7 @@
         return false;
     }
     bucket& entry = found->second;
-    const double window = std::chrono::duration<double>(window_).count();
-    const double allowed = (entry.limit.rate * window + entry.limit.burst) * share_;
-    if (entry.sent.count(now, window_) + 1.0 > allowed) {
+    if (!window_has_room(entry, now)) {
         return false;
     }
     entry.sent.add(now, window_);
--- a/src/serving/team_limits.hpp
+++ b/src/serving/team_limits.hpp
@@ -134,6 +134,7 @@
     };
 
     void fill(bucket& from, core::time_point now) const;
+    bool window_has_room(bucket& of, core::time_point now) const;
 
     double share_;
     /// Window of the limits, and since when all requests in it are counted here; unset before the
--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -193,6 +193,29 @@
     cr_assert_eq(refused, 0, "%d refused", refused);
 }
 
+// Guards against a bucket that goes on after the spare requests have used the window up: a flood of
+// some seconds after a quiet time had 122 requests in a window that allows 90.
+Test(team_limits, the_window_holds_in_a_flood)
+{
+    const serving::limit_tolerance tolerance{seconds(5), 0.1, 20};
+    serving::team_limits limits;
+    limits.set({{team, {15, 15}}}, start);
+    limits.restart(tolerance, start);
+    std::deque<core::time_point> sent;
+    std::size_t most = 0;
+    for (milliseconds at = seconds(6); at < seconds(20); at += milliseconds(10)) {
+        const core::time_point now = start + at;
+        if (limits.take(team, now) || limits.take_spare(team, now)) {
+            sent.push_back(now);
+        }
+        while (now - sent.front() > seconds(5)) {
+            sent.pop_front();
+        }
+        most = std::max(most, sent.size());
+    }
+    cr_assert_leq(most, 90U, "%zu in a window", most);
+}
+
 // Guards against spare requests of a new leader, which does not know the window before it.
 Test(team_limits, a_new_leader_has_nothing_to_spare)
 {
