edge: a leaving instance takes nothing that it could not finish

An instance took a request 6.6 s after SIGTERM, from a caller that kept its address three times as long as told, and ended 0.7 s later in the middle of the answer. Ruled out: the target (it was at work), the time limit. Measured: a_leaving_instance_takes_nothing_that_it_could_not_finish fails before.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -42,6 +42,10 @@
         caller->send(context_.translator.encode_refusal(refusal_reason::invalid, {}, {}));
         return;
     }
+    if (intake_ended_) {
+        refuse(*decoded, refusal_reason::leaving, caller);
+        return;
+    }
     waiting_request entry{std::move(*decoded), std::move(caller), steady_clock::now()};
     if (context_.routes == nullptr && waiting_.size() < waiting_max) {
         waiting_.push_back(std::move(entry));
@@ -127,6 +131,10 @@
     if (reason == refusal_reason::no_state) {
         retry_after = milliseconds(500);
     }
+    if (reason == refusal_reason::leaving) {
+        // Another instance serves it at once.
+        retry_after = milliseconds(1);
+    }
     caller->send(context_.translator.encode_refusal(reason, request.id, retry_after));
 }
 
--- a/src/edge/caller_gateway.hpp
+++ b/src/edge/caller_gateway.hpp
@@ -23,6 +23,9 @@
     /// Time has passed; to be called every 20 ms.
     void tick(core::time_point now);
 
+    /// Refuses all requests from now on: this instance ends soon.
+    void end_intake() { intake_ended_ = true; }
+
     /// Online requests that have no final answer yet.
     std::size_t open() const { return open_; }
 
@@ -43,6 +46,7 @@
     edge_context& context_;
     job_service& jobs_;
     std::size_t open_ = 0;
+    bool intake_ended_ = false;
     /// Requests that wait for the first desired state.
     std::vector<waiting_request> waiting_;
     /// Longest time limit that callers of a route have sent: first attempts have all of it.
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -604,8 +604,14 @@
         return;
     }
     const auto since = now - *leaving_since_;
-    const bool idle = gateway_->open() == 0 && jobs_left_;
-    if ((since >= settings_.leave_linger && idle) || since >= settings_.leave_max) {
+    if (since >= settings_.leave_linger && !intake_ended_) {
+        intake_ended_ = true;
+        logger_->write(kernel::log_level::info, "intake_ended",
+                       {{"open_requests", std::to_string(gateway_->open())}});
+        gateway_->end_intake();
+        callers_server_->drain([this] { callers_gone_ = true; });
+    }
+    if ((callers_gone_ && jobs_left_) || since >= settings_.leave_max) {
         left_ = true;
     }
 }
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -114,6 +114,9 @@
     double largest_capacity_ = 0;
     std::optional<core::time_point> leaving_since_;
     bool jobs_left_ = false;
+    /// A leaving instance takes no requests any more.
+    bool intake_ended_ = false;
+    bool callers_gone_ = false;
     std::atomic<bool> left_{false};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/edge/edge_settings.hpp
+++ b/src/edge/edge_settings.hpp
@@ -19,7 +19,7 @@
     std::string readiness_address;
     std::string directory_address;
     /// Time for which callers may keep an answer of the directory.
-    std::chrono::seconds directory_lifetime{2};
+    std::chrono::seconds directory_lifetime{1};
     /// Addresses in one answer of the directory at most.
     std::size_t directory_addresses_max = 64;
     /// Between two reads of the desired state: a third of the time in which a new one has to be in
@@ -30,8 +30,9 @@
     /// Between two reads of the members while this instance leads, and while it knows no leader.
     std::chrono::milliseconds member_interval{700};
     std::chrono::milliseconds lone_member_interval{300};
-    /// Time for which a leaving instance serves callers that still have its address.
-    std::chrono::milliseconds leave_linger{4500};
+    /// Time for which a leaving instance takes requests of callers that still have its address. The
+    /// time from then to its end is for what it has taken.
+    std::chrono::milliseconds leave_linger{3300};
     /// Time after which a leaving instance ends, whatever is under way.
     std::chrono::milliseconds leave_max{7500};
     /// Instances below this part of the largest one's capacity own no job partitions.
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -95,6 +95,8 @@
 /// Why a request ends without a target's answer.
 enum class refusal_reason {
     no_state,
+    /// This instance ends soon.
+    leaving,
     unknown_route,
     unknown_key,
     over_limit,
--- a/src/edge/refusal_reason.cpp
+++ b/src/edge/refusal_reason.cpp
@@ -8,6 +8,8 @@
     switch (reason) {
     case refusal_reason::no_state:
         return "no_state";
+    case refusal_reason::leaving:
+        return "leaving";
     case refusal_reason::unknown_route:
         return "unknown_route";
     case refusal_reason::unknown_key:
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -425,6 +425,24 @@
     cr_assert_eq(directory.body.find(deployment.callers_address(0)), std::string::npos);
 }
 
+// Guards against a request that a leaving instance takes so late that its end cuts it off. Callers
+// that come then connect elsewhere, or hear at once that the request has not run.
+Test(edge_node, a_leaving_instance_takes_nothing_that_it_could_not_finish, .timeout = 60)
+{
+    edge_deployment deployment({.events = 100, .event_gap = milliseconds(20)});
+    deployment.wait_until_serving();
+    auto answer = std::async(std::launch::async, [&] { return deployment.stream(0, "r1", false); });
+    cr_assert(eventually([&] { return deployment.runs_of("r1").size() == 1; }));
+    deployment.nodes[0]->begin_leaving();
+    // The deployment's instances take requests for half a second then.
+    std::this_thread::sleep_for(milliseconds(800));
+    const auto late = deployment.stream(0, "late", false);
+    cr_assert(late.outcome == http::call_outcome::not_sent || late.head.status == 503U);
+    cr_assert(deployment.runs_of("late").empty());
+    cr_assert(answer.get().body == stand_ins::model_engine::whole_stream("/fixed/x", 100));
+    cr_assert(eventually([&] { return deployment.nodes[0]->left(); }));
+}
+
 // Guards against work on a job that its caller has ended.
 Test(edge_node, an_ended_job_stops, .timeout = 60)
 {
