serving: items by due times, and those that cannot be done in time after the others

Cause: items went by what was left to do. Ruled out: idle slots (97 to 100% used after the restart), wasted runs. Change: deadline_planner chooses what can be done with the slots that online work leaves on average (Moore and Hodgson); the rest is deferred and is the first to leave its slot. The chosen ones go by due times; a run that is nearly done keeps its slot.

--- a/src/serving/serving.hpp
+++ b/src/serving/serving.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/deadline_planner.hpp"
 #include "serving/desired_state.hpp"
 #include "serving/event_splitter.hpp"
 #include "serving/fleet_placement.hpp"
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -1,8 +1,11 @@
 #include "serving/slot_scheduler.hpp"
 
+#include "serving/deadline_planner.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace gooseberryfall::serving {
 
@@ -181,9 +184,10 @@
                                                      core::time_point now) const
 {
     std::optional<run_key> victim;
-    // What is overdue has lost most of its worth and goes first. Then the run that has the most
-    // left to do: taking turns instead would bring all items to their due times unfinished.
-    std::pair<bool, core::duration> most(false, core::duration::zero());
+    // What cannot be done in time has lost most of its worth and goes first. Then the run that is
+    // due last: taking turns instead would bring all items to their due times unfinished.
+    std::tuple<bool, bool, core::time_point, core::duration> last(
+        false, false, core::time_point::min(), core::duration::zero());
     for (const auto& [key, entry] : runs_) {
         if (entry.kind != work_kind::batch || entry.yielding || entry.service != question.service ||
             contains(question.excluded, entry.target)) {
@@ -193,13 +197,14 @@
         const bool reachable = target != of.targets.end() && target->second.health.available(now) &&
                                !target->second.health.on_probation();
         const core::duration left = slack(of, entry, now);
-        const bool overdue = left < core::duration::zero();
-        if (!reachable || (!overdue && left < settings_.yield_margin)) {
+        const bool late = entry.deferred || left < core::duration::zero();
+        if (!reachable || (!late && left < settings_.yield_margin)) {
             continue;
         }
-        const std::pair<bool, core::duration> rank(overdue, remaining(of, entry, now));
-        if (rank > most) {
-            most = rank;
+        const core::duration needed = remaining(of, entry, now);
+        const std::tuple rank(late, needed > settings_.nearly_done, entry.due_at, needed);
+        if (rank > last) {
+            last = rank;
             victim = key;
         }
     }
@@ -536,19 +541,21 @@
 slot_scheduler::waiting_work* slot_scheduler::next_batch(lane& of, core::time_point now,
                                                          bool urgent_only)
 {
-    // An item that cannot be done in time any more has lost most of its worth: it goes last. The
-    // others go by what is left to do, so that as many as possible are done when more wait than can
-    // be done; one that has become urgent is asked for before.
+    // An item that cannot be done in time has lost most of its worth: it goes last. The others go
+    // by their due times; one that has become urgent is asked for before.
     waiting_work* best = nullptr;
-    std::pair<bool, core::duration> best_rank;
+    std::tuple<bool, core::time_point, core::duration> best_rank;
     for (waiting_work& work : of.batch) {
+        if (of.overloaded && work.unplanned) {
+            // It may be one of those that were deferred a moment ago.
+            continue;
+        }
         const core::duration left = slack(of, work, now);
-        const bool overdue = left < core::duration::zero();
-        if (urgent_only && (overdue || left > settings_.urgent_margin)) {
+        const bool late = work.deferred || left < core::duration::zero();
+        if (urgent_only && (late || left > settings_.urgent_margin)) {
             continue;
         }
-        const std::pair<bool, core::duration> rank(overdue,
-                                                   expected_duration(of, work.question.tokens));
+        const std::tuple rank(late, work.end_at, expected_duration(of, work.question.tokens));
         if (best == nullptr || rank < best_rank) {
             best = &work;
             best_rank = rank;
@@ -557,6 +564,47 @@
     return best;
 }
 
+void slot_scheduler::plan_batch(const core::service_id& service, lane& of, core::time_point now)
+{
+    const bool came = std::any_of(of.batch.begin(), of.batch.end(),
+                                  [](const waiting_work& work) { return work.unplanned; });
+    const auto elapsed = now - of.planned_at;
+    if (elapsed < settings_.plan_interval && !(of.overloaded && came)) {
+        return;
+    }
+    std::vector<due_work> work;
+    std::vector<bool*> deferred;
+    std::size_t online = 0;
+    for (auto& [key, entry] : runs_) {
+        if (entry.service != service || entry.yielding) {
+            continue;
+        }
+        if (entry.kind == work_kind::online) {
+            ++online;
+            continue;
+        }
+        work.push_back({remaining(of, entry, now), entry.due_at});
+        deferred.push_back(&entry.deferred);
+    }
+    for (waiting_work& waiting : of.batch) {
+        work.push_back({expected_duration(of, waiting.question.tokens), waiting.end_at});
+        deferred.push_back(&waiting.deferred);
+        waiting.unplanned = false;
+    }
+    const double weight =
+        std::clamp(std::chrono::duration<double>(elapsed) / settings_.online_memory, 0.0, 1.0);
+    of.online_slots += (static_cast<double>(online) - of.online_slots) * weight;
+    of.planned_at = now;
+    const auto slots = static_cast<double>(usable_slots(of, now));
+    const std::vector<bool> chosen = deadline_planner::choose(
+        work, std::max(slots * settings_.batch_share_min, slots - of.online_slots), now);
+    of.overloaded = false;
+    for (std::size_t index = 0; index < work.size(); ++index) {
+        *deferred[index] = !chosen[index];
+        of.overloaded = of.overloaded || !chosen[index];
+    }
+}
+
 bool slot_scheduler::has_room_for_batch(lane& of, core::time_point now) const
 {
     while (!of.short_gaps.empty() && of.short_gaps.front() + settings_.short_gap_memory <= now) {
@@ -628,6 +676,7 @@
         release(runs_.find(key));
     }
     for (auto& [service, of] : lanes_) {
+        plan_batch(service, of, now);
         fill(of, now, out);
         refuse_hopeless(service, of, now, out);
     }
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -121,6 +121,15 @@
     /// Time for which a slot is left free for online work after an item had to leave its slot
     /// before its first event: a few arrivals at the rates at which that happens.
     std::chrono::milliseconds short_gap_memory{1000};
+    /// A batch run that needs no longer than this ends about as soon as an online request would,
+    /// and is the last to leave its slot.
+    std::chrono::milliseconds nearly_done{800};
+    /// Between two choices of the items that can be done in time.
+    std::chrono::milliseconds plan_interval{100};
+    /// Time over which the slots that online work takes are averaged: a few steps of the traffic.
+    std::chrono::milliseconds online_memory{6000};
+    /// Part of the slots that items are taken to have at least.
+    double batch_share_min = 0.05;
     /// A target that needs this many times the usual time for a token is used last.
     double slow_factor = 2.0;
     /// Part of a service's targets that may be set aside for a share of failed requests.
@@ -146,7 +155,8 @@
 /// work than it has slots:
 /// - an online request takes a free slot at once, or that of the batch run with the most left to
 /// do;
-/// - batch items go by what they have left to do, so that a backlog is not due all at once;
+/// - batch items go by their due times; when not all can be done, those that take the most are
+///   deferred until the others are done;
 /// - a batch item near its due time goes before online work and keeps its slot;
 /// - when items have to leave slots that were free for some milliseconds only, as many slots are
 ///   left free for a while;
@@ -210,12 +220,18 @@
         /// Batch: when the result is due.
         core::time_point due_at;
         bool yielding = false;
+        /// Batch: it cannot be done in time beside the others.
+        bool deferred = false;
     };
     struct waiting_work {
         slot_question question;
         core::time_point asked_at;
         core::time_point objective_at;
         core::time_point end_at;
+        /// Batch: it cannot be done in time beside the others.
+        bool deferred = false;
+        /// Batch: it came after the last choice.
+        bool unplanned = true;
     };
     /// Targets and waiting work of one service.
     struct lane {
@@ -229,6 +245,11 @@
         double first_event = 0;
         double token_time = 0;
         double online_duration = 0;
+        /// Slots that online work holds on average.
+        double online_slots = 0;
+        core::time_point planned_at{};
+        /// Some items cannot be done in time.
+        bool overloaded = false;
     };
 
     lane& lane_of(const core::service_id& service) { return lanes_[service]; }
@@ -261,6 +282,8 @@
     void fill(lane& of, core::time_point now, slot_decisions& out);
     waiting_work* next_online(lane& of, core::time_point now, bool late);
     waiting_work* next_batch(lane& of, core::time_point now, bool urgent_only);
+    /// Chooses which items are deferred.
+    void plan_batch(const core::service_id& service, lane& of, core::time_point now);
     /// Whether an item may begin without being cut off at once by online work.
     bool has_room_for_batch(lane& of, core::time_point now) const;
     void release(std::map<run_key, run>::iterator position);
--- a/tests/serving/load_replay_test.cpp
+++ b/tests/serving/load_replay_test.cpp
@@ -32,6 +32,8 @@
 struct arrival {
     milliseconds at{0};
     work_kind kind = work_kind::online;
+    /// Of an item.
+    milliseconds length = item_time;
 };
 
 /// Online requests with exponential gaps at a rate that changes in steps.
@@ -137,7 +139,7 @@
             added.kind = arrivals_[next_].kind;
             added.asked_at = now;
             added.deadline = now + (added.kind == work_kind::online ? seconds(5) : item_due);
-            added.left = added.kind == work_kind::online ? online_time : item_time;
+            added.left = added.kind == work_kind::online ? online_time : arrivals_[next_].length;
             ++(added.kind == work_kind::online ? result_.asked : result_.items);
             ask(added, now);
         }
@@ -336,6 +338,28 @@
     cr_assert_gt(scheduled.share(), 0.9, "online %f", scheduled.share());
 }
 
+// Load pattern: a backlog that can just be done by its due time, and items that come later, some
+// of them shorter. Guards against old items that miss their time behind new ones that have plenty.
+Test(load_replay, a_backlog_goes_before_newer_items)
+{
+    std::vector<arrival> arrivals = steps(20, 80, seconds(40), 23);
+    const auto add_item = [&](milliseconds at) {
+        const auto step = static_cast<int>(arrivals.size() * 7 % 9) - 4;
+        arrivals.push_back({at, work_kind::batch, item_time + step * milliseconds(700)});
+    };
+    for (int item = 0; item < 150; ++item) {
+        add_item(milliseconds(item));
+    }
+    for (int item = 0; item < 108; ++item) {
+        add_item(milliseconds(1000 + item * 167));
+    }
+    std::ranges::stable_sort(arrivals, {}, &arrival::at);
+    const tally scheduled = replay(10, arrivals).run(seconds(44));
+    cr_assert_eq(scheduled.items_on_time, scheduled.items, "items on time %d of %d",
+                 scheduled.items_on_time, scheduled.items);
+    cr_assert_gt(scheduled.share(), 0.9, "online %f", scheduled.share());
+}
+
 // Load pattern: online work that fills all slots but for gaps of some milliseconds, while items
 // wait. Guards against items that begin in each gap and leave it before they have produced
 // anything: the target reads their prompts again and again, and callers wait for it.
