edge, platform: pass calls of the store on for instances that it turns away

Ruled out: a quicker takeover alone (memberships of 1.2 s and removal by the leader were there). Not used while nobody has read the store for 1.2 s.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -44,6 +44,12 @@
 constexpr std::size_t caller_answer_buffer = 128U << 10U;
 
 constexpr const char* state_path = "/state";
+/// Calls of the store that are passed on for instances that it turns away.
+constexpr const char* store_path = "/store";
+
+/// Others have read the store so lately that they can probably still reach it: a little more than
+/// the longest interval of their reads.
+constexpr milliseconds others_reach_store{1200};
 constexpr const char* metrics_path = "/metrics";
 
 http::client_settings peer_client_settings()
@@ -170,6 +176,13 @@
             [this](const std::optional<store_error>& failure) {
                 log_reachable("target_list", failure);
             }});
+    store_->use_relay({[this] { return choose_relay(); }, store_path,
+                       [this](bool turned_away, const std::string& reason) {
+                           logger_->write(turned_away ? kernel::log_level::warning
+                                                      : kernel::log_level::info,
+                                          turned_away ? "store_turns_away" : "store_serves_again",
+                                          {{"reason", reason}});
+                       }});
     registry_ = std::make_unique<member_registry>(
         *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
             for (const serving::fleet_member& member : members) {
@@ -359,6 +372,21 @@
                     {"reason", failure ? failure->reason : std::string()}});
 }
 
+std::optional<std::string> edge_node::choose_relay()
+{
+    const auto read_at = fleet_->fleet_read_at();
+    if (!read_at || steady_clock::now() - *read_at > others_reach_store) {
+        return std::nullopt;
+    }
+    std::vector<serving::fleet_member> others = fleet_->ready_members();
+    std::erase_if(others, [this](const auto& member) { return member.id == settings_.self.id; });
+    if (others.empty()) {
+        return std::nullopt;
+    }
+    // In turn, because the store may turn some of them away, too.
+    return others[++relay_turn_ % others.size()].id.value();
+}
+
 void edge_node::take_state(const std::string& value, const char* source)
 {
     auto state = translator_->decode_state(value);
@@ -567,6 +595,10 @@
         caller->send({200, {}, state_record_});
         return;
     }
+    if (received.target.starts_with(store_path)) {
+        store_->pass_on(std::move(received), caller);
+        return;
+    }
     jobs_->handle_forwarded(std::move(received), caller);
 }
 
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -63,6 +63,8 @@
     void take_target(const std::string& id, const std::string& value);
     void take_all_targets(const std::map<std::string, std::string>& all);
     void publish_targets();
+    /// Another instance that may reach the store; unset if none is known to.
+    std::optional<std::string> choose_relay();
     /// Reads the list of targets while this instance has to.
     void follow_targets(core::time_point now);
     void log_reachable(const char* what, const std::optional<store_error>& failure);
@@ -111,6 +113,7 @@
     bool targets_known_ = false;
     std::uint64_t targets_published_ = 0;
     std::uint64_t directory_turn_ = 0;
+    std::size_t relay_turn_ = 0;
     double largest_capacity_ = 0;
     std::optional<core::time_point> leaving_since_;
     bool jobs_left_ = false;
--- a/src/edge/store.hpp
+++ b/src/edge/store.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "fleet_wire/job_codec.hpp"
+#include "http/http.hpp"
 
 #include <tl/expected.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -79,6 +81,16 @@
     std::vector<log_place> places;
 };
 
+/// Where calls go that the store does not take from this instance.
+struct store_relay {
+    /// `ip:port` of another instance that may reach the store; unset if none does.
+    std::function<std::optional<std::string>()> choose;
+    /// Path of the other instance's service for such calls.
+    std::string path;
+    /// The store turns this instance away, or serves it again.
+    std::function<void(bool turned_away, const std::string& reason)> on_change;
+};
+
 /// The platform's durable store. All methods are for the event loop's thread; callbacks come on it,
 /// never within the call.
 class store {
@@ -111,6 +123,13 @@
     /// Leaves a group; its partitions go to others at once.
     virtual void leave(const std::string& group, const std::string& member,
                        store_callback<bool> done) = 0;
+
+    /// From now on calls that fail go by way of other instances: the store may turn some away while
+    /// it serves the others. All calls may be repeated.
+    virtual void use_relay(store_relay relay) = 0;
+
+    /// Passes on a call of another instance.
+    virtual void pass_on(http::request call, std::shared_ptr<http::responder> caller) = 0;
 };
 
 } // namespace gooseberryfall::edge
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -279,6 +279,33 @@
     }
 }
 
+// Guards against jobs that wait for another owner, and states that come late, because the store
+// turns a few instances away: the others pass their calls on.
+Test(edge_node, an_instance_that_the_store_turns_away_serves_on, .timeout = 90)
+{
+    edge_deployment deployment({});
+    deployment.wait_until_serving();
+    std::uint64_t version = 1;
+    for (const auto mode : {stand_ins::door_mode::busy, stand_ins::door_mode::silent}) {
+        for (std::size_t shut_out = 0; shut_out < 3; ++shut_out) {
+            deployment.store.set_mode(shut_out, mode);
+            // Shorter than a takeover by another instance: that some calls fail, or take their
+            // time limit, is enough.
+            std::this_thread::sleep_for(mode == stand_ins::door_mode::busy ? milliseconds(700)
+                                                                           : milliseconds(1000));
+            const std::string job = "job-" + std::to_string(version);
+            cr_assert_eq(deployment.submit(shut_out, job, 2), 202U, "shut out %zu", shut_out);
+            cr_assert_eq(result_count(deployment.all_results(shut_out, job, 2)), 2U);
+            const std::string key = "key-" + std::to_string(++version);
+            deployment.put_state(version, {"key-a", key});
+            cr_assert(eventually(
+                [&] { return deployment.stream(shut_out, "r", true, key).head.status == 200; },
+                milliseconds(2500)));
+            deployment.store.set_mode(shut_out, stand_ins::door_mode::open);
+        }
+    }
+}
+
 // Guards against an owner that goes on writing after it was replaced: the store compares the epochs
 // of one writer name only, so all owners have to write under the same.
 Test(edge_node, all_owners_write_under_one_name, .timeout = 60)
--- a/tests/serving/leadership_test.cpp
+++ b/tests/serving/leadership_test.cpp
@@ -132,8 +132,7 @@
         members.push_back(member("m" + std::to_string(index), 0.5, index));
     }
     for (int index = 0; index < count; ++index) {
-        fleet.emplace_back(members[static_cast<std::size_t>(index)],
-                           serving::leadership_settings(),
+        fleet.emplace_back(members[static_cast<std::size_t>(index)], serving::leadership_settings(),
                            start + milliseconds(index));
         fleet.back().set_members(members);
     }
@@ -161,7 +160,8 @@
         }
     }
     cr_assert(first.has_value());
-    cr_assert_leq(first->count(), 150, "begun after %lld ms", static_cast<long long>(first->count()));
+    cr_assert_leq(first->count(), 150, "begun after %lld ms",
+                  static_cast<long long>(first->count()));
     cr_assert_eq(leaders, 1);
     cr_assert(fleet.front().leads());
 }
