edge: tell callers to come back later while the store is away

Ruled out: holding them (a call that cannot be served is not held). Change: store_away_retry of 1.5 s, within what callers honour.

--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -20,6 +20,10 @@
 /// When a call that found no owner may be tried again: most of a takeover has passed by then.
 constexpr milliseconds no_owner_retry{400};
 
+/// When a submission that could not be written may be tried again: outages of the store last some
+/// seconds, and each try that fails is one of few.
+constexpr milliseconds store_away_retry{1500};
+
 /// Answer of an instance that does not own the partition of a call that was passed on to it.
 constexpr unsigned status_misdirected = 421;
 
@@ -196,7 +200,8 @@
     caller->send(context_.translator.encode(answer, retry_after));
 }
 
-void job_service::refuse(const routed_call& call, const std::string& reason)
+void job_service::refuse(const routed_call& call, const std::string& reason,
+                         milliseconds retry_after)
 {
     context_.logger.write(
         kernel::log_level::info, "job_call_refused",
@@ -204,7 +209,7 @@
          {"reason", reason},
          {"partition", std::to_string(call.partition)},
          {"owner", call.unreachable ? call.unreachable->instance.value() : std::string()}});
-    answer(call.caller, job_outcome::unavailable, no_owner_retry);
+    answer(call.caller, job_outcome::unavailable, retry_after);
 }
 
 void job_service::handle(const caller_request& request, const serving::route* route,
@@ -261,7 +266,7 @@
         return;
     }
     if (waiting_.size() >= settings_.waiting_max) {
-        refuse(*call, "no owner known, and too many calls wait");
+        refuse(*call, "no owner known, and too many calls wait", no_owner_retry);
         return;
     }
     waiting_.push_back(call);
@@ -279,7 +284,7 @@
     if (own != partitions_.end() && own->second->serves()) {
         const bool submits = !call->route.empty();
         if (submits && store_is_silent(steady_clock::now())) {
-            refuse(*call, "the store is not reached");
+            refuse(*call, "the store is not reached", store_away_retry);
             return true;
         }
         handle_here(*own->second, *call);
@@ -302,7 +307,7 @@
             continue;
         }
         if (now >= call->until) {
-            refuse(*call, "no owner known");
+            refuse(*call, "no owner known", no_owner_retry);
             continue;
         }
         waiting_.push_back(call);
@@ -375,7 +380,7 @@
         context_.fleet.report_ended(owner.instance);
     }
     if (steady_clock::now() >= call->until || waiting_.size() >= settings_.waiting_max) {
-        refuse(*call, misdirected ? "the owner has changed" : result.reason);
+        refuse(*call, misdirected ? "the owner has changed" : result.reason, no_owner_retry);
         return;
     }
     waiting_.push_back(call);
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -117,7 +117,8 @@
     void on_forwarded(const serving::partition_owner& owner,
                       const std::shared_ptr<routed_call>& call, const http::call_result& result);
     bool store_is_silent(core::time_point now) const;
-    void refuse(const routed_call& call, const std::string& reason);
+    void refuse(const routed_call& call, const std::string& reason,
+                std::chrono::milliseconds retry_after);
     void answer(const std::shared_ptr<http::responder>& caller, const job_answer& answer,
                 std::chrono::milliseconds retry_after);
 
