--- a/tests/serving/leadership_test.cpp
+++ b/tests/serving/leadership_test.cpp
@@ -128,6 +128,7 @@
     constexpr int count = 11;
     std::vector<leadership> fleet;
     std::vector<serving::fleet_member> members;
+    members.reserve(count);
     for (int index = 0; index < count; ++index) {
         members.push_back(member("m" + std::to_string(index), 0.5, index));
     }
@@ -207,8 +208,10 @@
 Test(leadership, a_round_of_questions_is_bounded)
 {
     leadership self(member("m7"), {}, start);
+    constexpr int count = 300;
     std::vector<serving::fleet_member> members;
-    for (int index = 0; index < 300; ++index) {
+    members.reserve(count);
+    for (int index = 0; index < count; ++index) {
         members.push_back(member("m" + std::to_string(index)));
     }
     self.set_members(members);
