edge, platform: changed settings take effect without a restart

Cause: SIGHUP had the settings checked only, and a file that changed without a signal was not noticed. A SIGHUP before the handler was installed ended the process. Ruled out: a restart at each change, which would cut nothing but costs a hand-over. Change: edge_bounds holds what may change (intervals, limits' window and tolerance, times of results, directory and leaving); settings_follower reads the file each second and at SIGHUP, and takes a content that was seen twice. What needs a restart is named in the log. Measured: changed_bounds_take_effect, changes_take_effect_or_need_a_restart, a_longer_window_holds_after_its_change and config_file_watch_test (interfaces are new).

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -122,9 +123,9 @@
     version_ = version;
 }
 
-void soak_run::write_settings(std::size_t instance) const
+std::string soak_run::settings_text(std::size_t instance, std::uint64_t variant) const
 {
-    std::ofstream out(options_.folder + "/" + std::to_string(instance) + ".toml");
+    std::ostringstream out;
     out << "[instance]\nname = \"soak-" << instance
         << "\"\ndata_centre = \"a\"\ncapacity = 1.0\n[listen]\ncallers = \""
         << address(instance, callers_port) << "\"\nreadiness = \""
@@ -133,9 +134,45 @@
         << address(instance, internal_port) << "\"\n[store]\naddress = \""
         << links_.address(store_links_[instance])
         << "\"\npartitions = 2\nrecord_bytes = 262144\ncall_bytes = 2097152\n"
-           "membership_min_ms = 1000\n[bounds]\nstate_in_force_ms = 2000\n"
-           "limit_window_s = 5\nlimit_overage = 0.1\nlimit_slack = 20\nresults_kept_s = 3600\n"
-           "directory_lifetime_max_s = 5\nleave_s = 8\n";
+           "membership_min_ms = 1000\n[bounds]\nstate_in_force_ms = "
+        << 2000 - variant % 3 * 500 << "\nlimit_window_s = " << 5 + variant % 2
+        << "\nlimit_overage = 0.1\nlimit_slack = 20\nresults_kept_s = " << 3600 + variant % 7
+        << "\ndirectory_lifetime_max_s = 5\nleave_s = " << 8 - variant % 2 << "\n";
+    return out.str();
+}
+
+void soak_run::write_settings(std::size_t instance, std::uint64_t variant) const
+{
+    const std::string file = options_.folder + "/" + std::to_string(instance) + ".toml";
+    std::ofstream(file) << settings_text(instance, variant);
+}
+
+void soak_run::change_settings()
+{
+    // Its own generator, so that the other faults of a seed stay as they are.
+    std::mt19937_64 random(options_.seed * 1000 + 997);
+    while (!faults_over_) {
+        std::this_thread::sleep_for(milliseconds(200 + draw(random, 2000)));
+        const std::size_t instance = draw(random, options_.instances);
+        const std::uint64_t variant = random();
+        const bool in_steps = draw(random, 3) == 0;
+        const bool announced = draw(random, 2) == 0;
+        if (in_steps) {
+            const std::string text = settings_text(instance, variant);
+            std::ofstream(options_.folder + "/" + std::to_string(instance) + ".toml")
+                << text.substr(0, draw(random, text.size()));
+            if (announced) {
+                signal(instance, SIGHUP);
+            }
+            std::this_thread::sleep_for(milliseconds(draw(random, 300)));
+        }
+        write_settings(instance, variant);
+        if (announced) {
+            signal(instance, SIGHUP);
+        }
+        note(std::string(announced ? "announced" : "silent") + " change of the settings" +
+             (in_steps ? " in two steps" : "") + " of instance " + std::to_string(instance));
+    }
 }
 
 void soak_run::start(std::size_t instance)
@@ -407,6 +444,7 @@
     if (options_.link_faults) {
         threads.emplace_back([this] { inject_link_faults(); });
     }
+    threads.emplace_back([this] { change_settings(); });
     std::thread submissions([this] { submit_all_day(); });
     inject_faults();
     heal();
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,6 +4,8 @@
 #include "config/description.hpp"
 #include "config/digests.hpp"
 #include "config/endpoint.hpp"
+#include "config/file_text.hpp"
+#include "config/file_watch.hpp"
 #include "config/fleet_file.hpp"
 #include "config/fleet_json.hpp"
 #include "config/problem.hpp"
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -120,7 +120,6 @@
       metrics_(std::move(metrics)), translator_(std::move(translator)), store_(std::move(durable))
 {
     const serving::fleet_member& self = settings_.self;
-    state_interval_ = spread_interval(settings_.state_interval, self.id);
     state_version_gauge_ =
         &metrics_->add_gauge("state_version", "Version of the desired state in force");
     store_age_gauge_ =
@@ -190,6 +189,7 @@
             }
             fleet_->set_members(members);
         });
+    apply_bounds(edge_bounds(settings_.bounds));
 }
 
 edge_node::~edge_node()
@@ -576,7 +576,7 @@
         caller->send({503, {}, {}});
         return;
     }
-    caller->send(translator_->encode_directory(addresses, settings_.directory_lifetime));
+    caller->send(translator_->encode_directory(addresses, settings_.bounds.directory_lifetime));
 }
 
 void edge_node::handle_internal(http::request received,
@@ -602,10 +602,40 @@
     jobs_->handle_forwarded(std::move(received), caller);
 }
 
-void edge_node::note_reload(const std::string& faults)
+void edge_node::apply_bounds(const edge_bounds& bounds)
 {
-    logger_->write(faults.empty() ? kernel::log_level::info : kernel::log_level::error,
-                   "settings_reloaded", {{"faults", faults}});
+    settings_.bounds = bounds;
+    state_interval_ = spread_interval(bounds.state_interval, settings_.self.id);
+    fleet_->set_bounds(bounds.fleet);
+    desk_->set_limit_window(bounds.fleet.tolerance.window);
+    jobs_->set_results_kept(bounds.results_kept);
+}
+
+void edge_node::take_reloaded(const tl::expected<reloaded_settings, std::string>& settings)
+{
+    if (!settings) {
+        logger_->write(kernel::log_level::error, "settings_reloaded",
+                       {{"outcome", "refused"}, {"faults", settings.error()}});
+        return;
+    }
+    const bool changed = !(settings->bounds == settings_.bounds);
+    std::string later;
+    for (const std::string& name : settings->needs_restart) {
+        later += later.empty() ? name : " " + name;
+    }
+    logger_->write(later.empty() ? kernel::log_level::info : kernel::log_level::warning,
+                   "settings_reloaded",
+                   {{"outcome", changed ? "applied" : "unchanged"}, {"needs_restart", later}});
+    apply_bounds(settings->bounds);
+}
+
+void edge_node::reload(tl::expected<reloaded_settings, std::string> settings)
+{
+    loop_->post([this, alive = alive_, settings = std::move(settings)] {
+        if (*alive) {
+            take_reloaded(settings);
+        }
+    });
 }
 
 void edge_node::begin_leaving()
@@ -636,14 +666,14 @@
         return;
     }
     const auto since = now - *leaving_since_;
-    if (since >= settings_.leave_linger && !intake_ended_) {
+    if (since >= settings_.bounds.leave_linger && !intake_ended_) {
         intake_ended_ = true;
         logger_->write(kernel::log_level::info, "intake_ended",
                        {{"open_requests", std::to_string(gateway_->open())}});
         gateway_->end_intake();
         callers_server_->drain([this] { callers_gone_ = true; });
     }
-    if ((callers_gone_ && jobs_left_) || since >= settings_.leave_max) {
+    if ((callers_gone_ && jobs_left_) || since >= settings_.bounds.leave_max) {
         left_ = true;
     }
 }
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -25,7 +25,7 @@
 namespace gooseberryfall::edge {
 
 /// One instance: listeners, followers of the store, and the services between them, on one event
-/// loop. Made by its builder. `start`, `begin_leaving` and `left` are thread-safe.
+/// loop. Made by its builder. `start`, `begin_leaving`, `reload` and `left` are thread-safe.
 class edge_node {
 public:
     class builder;
@@ -42,8 +42,9 @@
     /// Lets callers go elsewhere and gives all work up in order.
     void begin_leaving();
 
-    /// The settings file was read again; `faults` is empty if it is valid. Thread-safe.
-    void note_reload(const std::string& faults);
+    /// The settings file was read again: its bounds take effect. With the faults of a file that is
+    /// not valid, all settings stay as they are. Thread-safe.
+    void reload(tl::expected<reloaded_settings, std::string> settings);
 
     /// Whether everything is done and the process may end.
     bool left() const { return left_; }
@@ -54,6 +55,8 @@
               std::unique_ptr<kernel::logger> logger, std::unique_ptr<kernel::metrics> metrics);
 
     tl::expected<void, std::string> open_listeners();
+    void apply_bounds(const edge_bounds& bounds);
+    void take_reloaded(const tl::expected<reloaded_settings, std::string>& settings);
     void tick();
     void watch_store(core::time_point now);
     void take_state(const std::string& value, const char* source);
--- a/src/edge/edge_settings.hpp
+++ b/src/edge/edge_settings.hpp
@@ -8,9 +8,36 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace gooseberryfall::edge {
 
+/// Settings that take effect at once when the settings file changes.
+struct edge_bounds {
+    /// Time for which callers may keep an answer of the directory.
+    std::chrono::seconds directory_lifetime{1};
+    /// Between two reads of the desired state: a third of the time in which a new one has to be in
+    /// force, so that one read may fail.
+    std::chrono::milliseconds state_interval{650};
+    /// Time for which a leaving instance takes requests of callers that still have its address. The
+    /// time from then to its end is for what it has taken.
+    std::chrono::milliseconds leave_linger{3300};
+    /// Time after which a leaving instance ends, whatever is under way.
+    std::chrono::milliseconds leave_max{7500};
+    /// Time for which the results of a batch job can be read; 0 keeps them for good.
+    std::chrono::milliseconds results_kept{0};
+    fleet_bounds fleet;
+
+    bool operator==(const edge_bounds&) const = default;
+};
+
+/// What a settings file that was read again says.
+struct reloaded_settings {
+    edge_bounds bounds;
+    /// Settings that have changed and take effect at the next start only.
+    std::vector<std::string> needs_restart;
+};
+
 /// Settings of one instance.
 struct edge_settings {
     /// The instance among the others; its id is the `ip:port` of the listeners for instances.
@@ -18,23 +45,14 @@
     /// `ip:port` of the listeners; empty for those that this instance does not have.
     std::string readiness_address;
     std::string directory_address;
-    /// Time for which callers may keep an answer of the directory.
-    std::chrono::seconds directory_lifetime{1};
+    edge_bounds bounds;
     /// Addresses in one answer of the directory at most.
     std::size_t directory_addresses_max = 64;
-    /// Between two reads of the desired state: a third of the time in which a new one has to be in
-    /// force, so that one read may fail.
-    std::chrono::milliseconds state_interval{650};
     /// Between two reads of the targets while this instance leads, or knows no leader.
     std::chrono::milliseconds target_interval{400};
     /// Between two reads of the members while this instance leads, and while it knows no leader.
     std::chrono::milliseconds member_interval{700};
     std::chrono::milliseconds lone_member_interval{300};
-    /// Time for which a leaving instance takes requests of callers that still have its address. The
-    /// time from then to its end is for what it has taken.
-    std::chrono::milliseconds leave_linger{3300};
-    /// Time after which a leaving instance ends, whatever is under way.
-    std::chrono::milliseconds leave_max{7500};
     /// Instances below this part of the largest one's capacity own no job partitions.
     double job_owner_capacity = 0.5;
     /// Idle connections kept to one target.
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -55,6 +55,12 @@
                         });
 }
 
+void fleet_service::set_bounds(const fleet_bounds& bounds)
+{
+    bounds_ = bounds;
+    placement_.set_limit_window(bounds.tolerance.window, steady_clock::now());
+}
+
 void fleet_service::set_state(const serving::desired_state& state)
 {
     state_version_ = state.version;
@@ -122,7 +128,7 @@
 
 bool fleet_service::is_fit(core::time_point now) const
 {
-    return store_age(now) < settings_.store_silence;
+    return store_age(now) < bounds_.store_silence;
 }
 
 void fleet_service::note_fleet_read(core::time_point at)
@@ -133,7 +139,7 @@
 bool fleet_service::others_know_more() const
 {
     const auto others = roster_.others_read_at();
-    return others && *others > store_read_at_.value_or(core::time_point()) + settings_.store_lead;
+    return others && *others > store_read_at_.value_or(core::time_point()) + bounds_.store_lead;
 }
 
 void fleet_service::send(const core::instance_id& to, const peer_message& message)
@@ -317,7 +323,7 @@
 
 void fleet_service::begin_leading(core::time_point now)
 {
-    placement_.restart(settings_.tolerance, now);
+    placement_.restart(bounds_.tolerance, now);
     learns_until_ = now + settings_.learning_time;
     updates_from_ = now + first_reports;
     roster_.begin(now);
@@ -338,8 +344,8 @@
     }
     learns_until_.reset();
     const serving::spending spent =
-        roster_.spent(callbacks_.condition().spent, uptime(now), settings_.tolerance.window);
-    placement_.learn_spending(spent, settings_.tolerance, now);
+        roster_.spent(callbacks_.condition().spent, uptime(now), bounds_.tolerance.window);
+    placement_.learn_spending(spent, bounds_.tolerance, now);
     logger_.write(kernel::log_level::info, "limits_learnt",
                   {{"instances", std::to_string(spent.instances)},
                    {"scope", serving::to_text(spent.scope)},
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -15,20 +15,26 @@
 
 namespace gooseberryfall::edge {
 
-/// Settings of `fleet_service`.
-struct fleet_settings {
+/// Settings of `fleet_service` that may change while it runs.
+struct fleet_bounds {
     /// An instance that has not heard from the store for so long is no fit leader.
     std::chrono::milliseconds store_silence{1300};
     /// A leader gives way to an instance that has heard from the store so much later. More than the
     /// interval of the reads: while the store is away for all, ages differ by less.
     std::chrono::milliseconds store_lead{900};
+    serving::limit_tolerance tolerance;
+
+    bool operator==(const fleet_bounds&) const = default;
+};
+
+/// Settings of `fleet_service`.
+struct fleet_settings {
     /// Time in which a new leader gathers what the instances have spent of the limits. They report
     /// as soon as they hear it.
     std::chrono::milliseconds learning_time{250};
     /// Time without a leader for which work waits for one before it is placed here, and after which
     /// this instance reads the list of targets itself. A search ends sooner in most cases.
     std::chrono::milliseconds leader_wait{200};
-    serving::limit_tolerance tolerance;
     serving::leadership_settings leadership;
     serving::roster_settings roster;
     serving::scheduler_settings scheduler;
@@ -74,6 +80,9 @@
     /// Time has passed; to be called every 20 ms.
     void tick(core::time_point now);
 
+    /// Replaces the bounds.
+    void set_bounds(const fleet_bounds& bounds);
+
     /// The desired state in force.
     void set_state(const serving::desired_state& state);
 
@@ -167,6 +176,7 @@
     http::event_loop& loop_;
     kernel::logger& logger_;
     fleet_settings settings_;
+    fleet_bounds bounds_;
     fleet_callbacks callbacks_;
     peer_socket socket_;
     serving::leadership leadership_;
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -59,6 +59,9 @@
     /// Begins to take the log over.
     void start();
 
+    /// Replaces the time for which results are kept.
+    void set_results_kept(std::chrono::milliseconds kept) { settings_.results_kept = kept; }
+
     /// Whether the log has been taken over.
     bool active() const { return writer_ != nullptr; }
 
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -51,11 +51,18 @@
     *alive_ = false;
 }
 
+void job_service::set_results_kept(std::chrono::milliseconds kept)
+{
+    settings_.partition.results_kept = kept;
+    for (const auto& [number, partition] : partitions_) {
+        partition->set_results_kept(kept);
+    }
+}
+
 std::uint32_t job_service::partition_of(const core::team_id& team) const
 {
-    const auto topics = static_cast<std::uint32_t>(group_.topics().size());
-    return static_cast<std::uint32_t>(core::stable_hash(team.value()) %
-                                      (topics * settings_.partitions));
+    const std::uint64_t places = group_.topics().size() * std::uint64_t{settings_.partitions};
+    return static_cast<std::uint32_t>(core::stable_hash(team.value()) % places);
 }
 
 log_place job_service::place_of(std::uint32_t partition) const
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -65,6 +65,9 @@
     /// Time has passed; to be called every 20 ms.
     void tick(core::time_point now);
 
+    /// Sets the time for which the results of a job can be read; see `partition_settings`.
+    void set_results_kept(std::chrono::milliseconds kept);
+
     /// An instance has gone: its partitions are shared out anew.
     void remove_owner(const core::instance_id& instance) { group_.remove(instance); }
 
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -31,8 +31,7 @@
 
 slot_desk::slot_desk(fleet_service& fleet, kernel::logger& logger, desk_settings settings,
                      std::uint64_t first_number)
-    : fleet_(fleet), logger_(logger), settings_(settings), spent_(settings.limit_window),
-      next_number_(first_number)
+    : fleet_(fleet), logger_(logger), settings_(settings), next_number_(first_number)
 {
 }
 
--- a/src/edge/slot_desk.hpp
+++ b/src/edge/slot_desk.hpp
@@ -40,8 +40,6 @@
     std::chrono::milliseconds doubt_time{400};
     /// A waiting batch item is asked for again at this interval.
     std::chrono::milliseconds batch_repeat{1000};
-    /// Span in which requests count against a team's limit.
-    std::chrono::milliseconds limit_window{5000};
 };
 
 /// Gets slots for the work of this instance: from the leader, or, while the leader is silent, from
@@ -78,6 +76,9 @@
     /// Runs under way, for the report.
     std::vector<serving::reported_run> runs() const;
 
+    /// Sets the span in which requests count against a team's limit.
+    void set_limit_window(std::chrono::milliseconds window) { spent_.set_window(window); }
+
     /// Requests sent in the last window of the limits, for the report.
     serving::team_counts spent() { return spent_.counts(std::chrono::steady_clock::now()); }
 
@@ -107,7 +108,7 @@
     kernel::logger& logger_;
     desk_settings settings_;
     serving::fleet_placement local_;
-    serving::spend_window spent_;
+    serving::spend_window spent_{serving::limit_tolerance().window};
     std::map<std::uint64_t, entry> entries_;
     std::uint64_t next_number_;
     core::time_point doubted_until_{};
--- a/src/serving/fleet_placement.hpp
+++ b/src/serving/fleet_placement.hpp
@@ -35,6 +35,12 @@
     /// Begins to place for others with an empty memory.
     void restart(const limit_tolerance& tolerance, core::time_point now);
 
+    /// Sets the span in which requests count against a team's limit.
+    void set_limit_window(std::chrono::milliseconds window, core::time_point now)
+    {
+        limits_.set_window(window, now);
+    }
+
     /// Learns what was spent before; see `team_limits::learn`.
     void learn_spending(const spending& spent, const limit_tolerance& tolerance,
                         core::time_point now)
--- a/src/serving/spend_window.hpp
+++ b/src/serving/spend_window.hpp
@@ -14,6 +14,10 @@
 public:
     explicit spend_window(std::chrono::milliseconds window) : window_(window) {}
 
+    /// Changes the window. Requests of a longer one that were sent before the change may be
+    /// missing.
+    void set_window(std::chrono::milliseconds window) { window_ = window; }
+
     /// A request of the team was sent.
     void record(const core::team_id& team, core::time_point now);
 
--- a/src/serving/team_limits.cpp
+++ b/src/serving/team_limits.cpp
@@ -107,6 +107,17 @@
     }
 }
 
+void team_limits::set_window(std::chrono::milliseconds window, core::time_point now)
+{
+    if (window == window_) {
+        return;
+    }
+    window_ = window;
+    if (counted_since_) {
+        counted_since_ = now;
+    }
+}
+
 void team_limits::restart(const limit_tolerance& tolerance, core::time_point now)
 {
     window_ = tolerance.window;
--- a/src/serving/team_limits.hpp
+++ b/src/serving/team_limits.hpp
@@ -28,6 +28,8 @@
     /// Part of what the limit allows in the window, and requests, that are tolerated in addition.
     double overage = 0;
     double slack = 0;
+
+    bool operator==(const limit_tolerance&) const = default;
 };
 
 /// Requests of each team.
@@ -93,6 +95,10 @@
     /// Sets the part of each limit that this instance may give out.
     void set_share(double share, core::time_point now);
 
+    /// Sets the span in which requests count against a limit. After a change there are no spare
+    /// requests until it has passed once.
+    void set_window(std::chrono::milliseconds window, core::time_point now);
+
     /// Starts to give out limits in the place of another instance, which may have just given out
     /// the whole burst: until it is known what was spent, each bucket holds half of what is
     /// tolerated above the limit.
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -237,11 +237,11 @@
     const auto settings = adapter::parse_settings(settings_text, "edge.toml");
     cr_assert(settings.has_value());
     cr_assert(settings->edge.self.name == "edge-1");
-    cr_assert(settings->edge.state_interval < milliseconds(1000));
-    cr_assert(settings->edge.leave_max < seconds(8));
-    cr_assert(settings->edge.fleet.tolerance.window == seconds(5));
-    cr_assert_eq(settings->edge.fleet.tolerance.slack, 20);
-    cr_assert(settings->edge.directory_lifetime <= seconds(5));
+    cr_assert(settings->edge.bounds.state_interval < milliseconds(1000));
+    cr_assert(settings->edge.bounds.leave_max < seconds(8));
+    cr_assert(settings->edge.bounds.fleet.tolerance.window == seconds(5));
+    cr_assert_eq(settings->edge.bounds.fleet.tolerance.slack, 20);
+    cr_assert(settings->edge.bounds.directory_lifetime <= seconds(5));
     cr_assert(first_problem("capacity = 0.5", "capacity = \"x\"") ==
               "edge.toml:4: instance.capacity: a number from 0.001 to 1024 is expected");
     cr_assert(first_problem("leave_s = 8", "leave_s = 8\nodd = 1") ==
@@ -249,3 +249,27 @@
     cr_assert(first_problem("address = \"127.0.0.1:5\"", "") ==
               "edge.toml: store.address: is missing");
 }
+
+// Guards against changed settings that are silently left out: each one takes effect at once or is
+// named as one that needs a restart.
+Test(settings, changes_take_effect_or_need_a_restart)
+{
+    const auto before = adapter::parse_settings(settings_text, "edge.toml");
+    const auto changed = [&](const std::string& from, const std::string& to) {
+        std::string text = settings_text;
+        text.replace(text.find(from), from.size(), to);
+        const auto after = adapter::parse_settings(text, "edge.toml");
+        cr_assert(after.has_value());
+        return adapter::compare_settings(*before, *after);
+    };
+    const auto same = changed("leave_s = 8", "leave_s = 8");
+    cr_assert(same.bounds == before->edge.bounds);
+    cr_assert(same.needs_restart.empty());
+    const auto bounds = changed("limit_window_s = 5", "limit_window_s = 7");
+    cr_assert(bounds.bounds.fleet.tolerance.window == seconds(7));
+    cr_assert(bounds.needs_restart.empty());
+    const auto fixed = changed("capacity = 0.5", "capacity = 0.25");
+    cr_assert(fixed.bounds == before->edge.bounds);
+    cr_assert_eq(fixed.needs_restart.size(), 1U);
+    cr_assert(fixed.needs_restart.front() == "instance.capacity");
+}
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 namespace http = gooseberryfall::http;
+namespace edge = gooseberryfall::edge;
 namespace names = gooseberryfall::adapter::names;
 namespace stand_ins = gooseberryfall::stand_ins;
 namespace json = boost::json;
@@ -452,6 +453,33 @@
     cr_assert_eq(directory.body.find(deployment.callers_address(0)), std::string::npos);
 }
 
+// Guards against bounds that stay as they were when the settings file changes, and against a file
+// with faults that puts some of its content in force.
+Test(edge_node, changed_bounds_take_effect, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 1});
+    deployment.wait_until_serving();
+    const auto lifetime_is = [&](const std::string& expected) {
+        const auto directory = http::call(deployment.directory_address(0), "GET",
+                                          std::string(names::directory_path) + "?name=x&zone=a");
+        return directory.body.ends_with(":" + expected + "}");
+    };
+    cr_assert(lifetime_is("1"));
+    edge::edge_bounds bounds;
+    bounds.directory_lifetime = std::chrono::seconds(4);
+    deployment.nodes[0]->reload(edge::reloaded_settings{bounds, {"listen.callers"}});
+    cr_assert(eventually([&] { return lifetime_is("4"); }));
+    deployment.nodes[0]->reload(tl::unexpected(std::string("edge.toml:4: is missing")));
+    cr_assert(deployment.stream(0, "r1").head.status == 200);
+    cr_assert(lifetime_is("4"));
+    deployment.kill(0);
+    const std::string log = deployment.log_of(0);
+    cr_assert_neq(log.find("outcome=\"applied\" needs_restart=\"listen.callers\""),
+                  std::string::npos);
+    cr_assert_neq(log.find("outcome=\"refused\" faults=\"edge.toml:4: is missing\""),
+                  std::string::npos);
+}
+
 // Guards against a request that a leaving instance takes so late that its end cuts it off. Callers
 // that come then connect elsewhere, or hear at once that the request has not run.
 Test(edge_node, a_leaving_instance_takes_nothing_that_it_could_not_finish, .timeout = 60)
--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -193,6 +193,31 @@
     cr_assert_eq(refused, 0, "%d refused", refused);
 }
 
+// Guards against spare requests in a window that has grown with the settings, while older requests
+// are not counted any more.
+Test(team_limits, a_longer_window_holds_after_its_change)
+{
+    serving::team_limits limits;
+    limits.set({{team, {10, 10}}}, start);
+    limits.restart({seconds(1), 0.1, 20}, start);
+    const core::time_point changed_at = start + seconds(4);
+    std::deque<core::time_point> sent;
+    for (milliseconds at{0}; at < seconds(20); at += milliseconds(10)) {
+        const core::time_point now = start + at;
+        if (now == changed_at) {
+            limits.set_window(seconds(5), now);
+            sent.clear();
+        }
+        if (limits.take(team, now) || limits.take_spare(team, now)) {
+            sent.push_back(now);
+        }
+        while (!sent.empty() && now - sent.front() > seconds(5)) {
+            sent.pop_front();
+        }
+        cr_assert(now < changed_at || sent.size() <= 10U * 5 + 10U, "%zu sent", sent.size());
+    }
+}
+
 // Guards against a bucket that goes on after the spare requests have used the window up: a flood of
 // some seconds after a quiet time had 122 requests in a window that allows 90.
 Test(team_limits, the_window_holds_in_a_flood)
