edge, platform: metrics of slots, runs, the store and memory; target list and directory apart from the node

Ruled out: one series for each free-text reason of a failure: their number has no bound, so that runs are counted by outcome.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -29,6 +29,7 @@
           context.metrics.add_counter("caller_answers", "Answers of targets passed on whole")),
       broken_off_(
           context.metrics.add_counter("caller_answers_cut", "Requests without a whole end")),
+      refused_(context.metrics, "caller_refusals", "Refusals by reason", "reason"),
       first_byte_(context.metrics.add_histogram("caller_first_byte", "Time to the first byte")),
       duration_(context.metrics.add_histogram("caller_duration", "Time to the end of an answer"))
 {
@@ -153,12 +154,7 @@
 void caller_gateway::count(const exchange_end& end)
 {
     if (end.refused) {
-        kernel::counter*& counter = refused_[to_text(*end.refused)];
-        if (counter == nullptr) {
-            counter = &context_.metrics.add_counter("caller_refusals", "Refusals by reason",
-                                                    {{"reason", to_text(*end.refused)}});
-        }
-        counter->add();
+        refused_.count(to_text(*end.refused));
         return;
     }
     (end.whole ? answered_ : broken_off_).add();
--- a/src/edge/caller_gateway.hpp
+++ b/src/edge/caller_gateway.hpp
@@ -51,10 +51,11 @@
     std::vector<waiting_request> waiting_;
     /// Longest time limit that callers of a route have sent: first attempts have all of it.
     std::map<std::string, std::chrono::milliseconds> full_limits_;
-    std::map<std::string, kernel::counter*> refused_;
+
     kernel::counter& received_;
     kernel::counter& answered_;
     kernel::counter& broken_off_;
+    kernel::counter_family refused_;
     kernel::latency_histogram& first_byte_;
     kernel::latency_histogram& duration_;
 };
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -85,8 +85,7 @@
     return *this;
 }
 
-edge_node::builder&
-edge_node::builder::with_store(std::function<std::unique_ptr<store>(http::event_loop&)> make_store)
+edge_node::builder& edge_node::builder::with_store(store_maker make_store)
 {
     make_store_ = std::move(make_store);
     return *this;
@@ -106,10 +105,11 @@
     }
     log_.lines_per_second = log_lines_per_second;
     auto loop = std::make_unique<http::event_loop>("edge");
-    auto durable = make_store_(*loop);
-    return std::unique_ptr<edge_node>(new edge_node(
-        std::move(settings_), std::move(translator_), std::move(durable), std::move(loop),
-        std::make_unique<kernel::logger>(log_), std::make_unique<kernel::metrics>()));
+    auto metrics = std::make_unique<kernel::metrics>();
+    auto durable = make_store_(*loop, *metrics);
+    return std::unique_ptr<edge_node>(
+        new edge_node(std::move(settings_), std::move(translator_), std::move(durable),
+                      std::move(loop), std::make_unique<kernel::logger>(log_), std::move(metrics)));
 }
 
 edge_node::edge_node(edge_settings settings, std::unique_ptr<protocol> translator,
@@ -124,6 +124,7 @@
         &metrics_->add_gauge("state_version", "Version of the desired state in force");
     store_age_gauge_ =
         &metrics_->add_gauge("store_age_seconds", "Age of what was read from the store");
+    memory_gauge_ = &metrics_->add_gauge("process_memory_bytes", "Resident memory of the instance");
     targets_client_ = std::make_unique<http::client>(*loop_, target_client_settings(settings_));
     peers_client_ = std::make_unique<http::client>(*loop_, peer_client_settings());
     fleet_callbacks callbacks;
@@ -145,7 +146,7 @@
     // Numbers of an earlier process at this address are lower: it made fewer than a thousand in
     // each millisecond.
     const auto first_number = static_cast<std::uint64_t>(self.started_at) * 1000;
-    desk_ = std::make_unique<slot_desk>(*fleet_, *logger_, settings_.desk, first_number);
+    desk_ = std::make_unique<slot_desk>(*fleet_, *logger_, *metrics_, settings_.desk, first_number);
     context_ = std::make_unique<edge_context>(
         edge_context{*loop_, *logger_, *metrics_, *translator_, *targets_client_, *desk_, *fleet_,
                      settings_.timeouts, self.data_centre, nullptr});
@@ -167,14 +168,13 @@
                            [this](const std::optional<store_error>& failure) {
                                log_reachable("desired_state", failure);
                            }});
-    target_follower_ = std::make_unique<log_follower>(
-        *store_, translator_->target_place(),
-        follower_callbacks{
-            [this](const std::map<std::string, std::string>& all) { take_all_targets(all); },
-            [this](const std::string& key, const std::string& value) { take_target(key, value); },
-            [this](const std::optional<store_error>& failure) {
-                log_reachable("target_list", failure);
-            }});
+    targets_ = std::make_unique<target_list>(*store_, *logger_, *translator_, *fleet_,
+                                             settings_.target_interval,
+                                             [this](const std::optional<store_error>& failure) {
+                                                 log_reachable("target_list", failure);
+                                             });
+    directory_ =
+        std::make_unique<directory_service>(*translator_, settings_.directory_addresses_max);
     store_->use_relay({[this] { return choose_relay(); }, store_path,
                        [this](bool turned_away, const std::string& reason) {
                            logger_->write(turned_away ? kernel::log_level::warning
@@ -204,7 +204,7 @@
         jobs_.reset();
         registry_.reset();
         state_follower_.reset();
-        target_follower_.reset();
+        targets_.reset();
         targets_client_.reset();
         peers_client_.reset();
         store_.reset();
@@ -270,7 +270,8 @@
     };
     const auto on_directory = [this](const http::request& received,
                                      const std::shared_ptr<http::responder>& caller) {
-        handle_directory(received, caller);
+        directory_->handle(received, caller, fleet_->ready_members(),
+                           ready() ? settings_.self.callers_address : std::string());
     };
     const auto on_internal = [this](http::request received,
                                     const std::shared_ptr<http::responder>& caller) {
@@ -323,44 +324,15 @@
 {
     state_follower_->tick(now, state_interval_);
     const bool lone = !fleet_->has_leader();
-    follow_targets(now);
     if (lone || fleet_->leads()) {
         registry_->tick(now, lone ? settings_.lone_member_interval : settings_.member_interval);
     }
     const auto read_at = std::max(state_follower_->read_at(), jobs_->joined_at());
     fleet_->set_store_read_at(read_at);
     if (read_at) {
-        targets_.watch().on_own_read(*read_at);
         store_age_gauge_->set(std::chrono::duration<double>(now - *read_at).count());
     }
-    if (const auto fleet_read_at = fleet_->fleet_read_at()) {
-        targets_.watch().on_fleet_read(*fleet_read_at);
-    }
-    targets_.expire(now);
-    publish_targets();
-}
-
-void edge_node::follow_targets(core::time_point now)
-{
-    const bool wanted = fleet_->wants_targets();
-    if (wanted && !follows_targets_) {
-        // What the leader told last is newer than what this instance has read before it paused.
-        targets_.adopt(fleet_->known_targets());
-        target_follower_->restart();
-    }
-    if (!wanted && follows_targets_) {
-        targets_.watch().pause_list();
-        targets_known_ = false;
-        targets_published_ = 0;
-    }
-    follows_targets_ = wanted;
-    if (!wanted) {
-        return;
-    }
-    target_follower_->tick(now, settings_.target_interval);
-    if (const auto list_read_at = target_follower_->read_at(); list_read_at && targets_known_) {
-        targets_.watch().on_list_read(*list_read_at);
-    }
+    targets_->tick(now, read_at);
 }
 
 void edge_node::log_reachable(const char* what, const std::optional<store_error>& failure)
@@ -457,65 +429,6 @@
     peers_client_->start(std::move(request), std::move(observer));
 }
 
-std::optional<serving::target_entry> edge_node::read_target(const std::string& id,
-                                                            const std::string& value) const
-{
-    auto entry = translator_->decode_target(id, value);
-    if (!entry) {
-        logger_->write(kernel::log_level::warning, "target_unreadable",
-                       {{"target", id}, {"reason", entry.error()}});
-        return std::nullopt;
-    }
-    return std::move(*entry);
-}
-
-void edge_node::take_target(const std::string& id, const std::string& value)
-{
-    const core::time_point now = steady_clock::now();
-    if (value.empty()) {
-        const bool known = targets_.find(core::target_id(id)) != nullptr;
-        targets_.remove(core::target_id(id), now);
-        if (known) {
-            logger_->write(kernel::log_level::info, "target_removed", {{"target", id}});
-        }
-        return;
-    }
-    const std::optional<serving::target_entry> entry = read_target(id, value);
-    if (!entry) {
-        return;
-    }
-    const serving::target_entry* known = targets_.find(entry->id);
-    if (known == nullptr || !(*known == *entry)) {
-        logger_->write(kernel::log_level::info, "target_changed",
-                       {{"target", id},
-                        {"address", entry->address},
-                        {"draining", entry->draining ? "yes" : "no"},
-                        {"started_at", std::to_string(entry->started_at)}});
-    }
-    targets_.update(*entry);
-}
-
-void edge_node::take_all_targets(const std::map<std::string, std::string>& all)
-{
-    std::vector<serving::target_entry> entries;
-    for (const auto& [id, value] : all) {
-        if (auto entry = read_target(id, value)) {
-            entries.push_back(std::move(*entry));
-        }
-    }
-    targets_.replace_all(entries, steady_clock::now());
-    targets_known_ = true;
-}
-
-void edge_node::publish_targets()
-{
-    const std::uint64_t revision = targets_.revision();
-    if (follows_targets_ && targets_known_ && revision != targets_published_) {
-        targets_published_ = revision;
-        fleet_->set_targets(targets_.usable());
-    }
-}
-
 own_condition edge_node::condition() const
 {
     own_condition own;
@@ -540,49 +453,13 @@
     caller->send({known ? status : 404, {}, {}});
 }
 
-void edge_node::handle_directory(const http::request& received,
-                                 const std::shared_ptr<http::responder>& caller)
-{
-    if (!translator_->is_directory_question(received)) {
-        caller->send({404, {}, {}});
-        return;
-    }
-    std::vector<serving::fleet_member> members = fleet_->ready_members();
-    double largest = 0;
-    for (const serving::fleet_member& member : members) {
-        largest = std::max(largest, member.capacity);
-    }
-    // A caller picks one of the addresses at random, so that an instance gets callers by how often
-    // it is named: in proportion to its capacity.
-    ++directory_turn_;
-    std::vector<std::string> addresses;
-    for (const serving::fleet_member& member : members) {
-        const std::uint64_t draw = core::stable_hash(member.id.value(), directory_turn_);
-        const double chance = largest > 0 ? member.capacity / largest : 1.0;
-        if (static_cast<double>(draw % 1000) < chance * 1000) {
-            addresses.push_back(member.callers_address);
-        }
-    }
-    if (addresses.empty() && ready()) {
-        addresses.push_back(settings_.self.callers_address);
-    }
-    if (addresses.size() > settings_.directory_addresses_max) {
-        std::sort(addresses.begin(), addresses.end(), [this](const auto& a, const auto& b) {
-            return core::stable_hash(a, directory_turn_) < core::stable_hash(b, directory_turn_);
-        });
-        addresses.resize(settings_.directory_addresses_max);
-    }
-    if (addresses.empty()) {
-        caller->send({503, {}, {}});
-        return;
-    }
-    caller->send(translator_->encode_directory(addresses, settings_.bounds.directory_lifetime));
-}
-
 void edge_node::handle_internal(http::request received,
                                 const std::shared_ptr<http::responder>& caller)
 {
     if (received.target == metrics_path) {
+        if (const auto memory = kernel::resident_memory()) {
+            memory_gauge_->set(static_cast<double>(*memory));
+        }
         caller->send(
             {200, {{"Content-Type", kernel::metrics::content_type}}, metrics_->exposition()});
         return;
@@ -606,6 +483,7 @@
 {
     settings_.bounds = bounds;
     state_interval_ = spread_interval(bounds.state_interval, settings_.self.id);
+    directory_->set_lifetime(bounds.directory_lifetime);
     fleet_->set_bounds(bounds.fleet);
     desk_->set_limit_window(bounds.fleet.tolerance.window);
     jobs_->set_results_kept(bounds.results_kept);
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/caller_gateway.hpp"
+#include "edge/directory_service.hpp"
 #include "edge/edge_context.hpp"
 #include "edge/edge_settings.hpp"
 #include "edge/fleet_service.hpp"
@@ -10,6 +11,7 @@
 #include "edge/protocol.hpp"
 #include "edge/slot_desk.hpp"
 #include "edge/store.hpp"
+#include "edge/target_list.hpp"
 #include "http/http.hpp"
 #include "kernel/kernel.hpp"
 #include "serving/serving.hpp"
@@ -61,21 +63,12 @@
     void watch_store(core::time_point now);
     void take_state(const std::string& value, const char* source);
     void apply_limits(const serving::caller_limits& limits);
-    std::optional<serving::target_entry> read_target(const std::string& id,
-                                                     const std::string& value) const;
-    void take_target(const std::string& id, const std::string& value);
-    void take_all_targets(const std::map<std::string, std::string>& all);
-    void publish_targets();
     /// Another instance that may reach the store; unset if none is known to.
     std::optional<std::string> choose_relay();
-    /// Reads the list of targets while this instance has to.
-    void follow_targets(core::time_point now);
     void log_reachable(const char* what, const std::optional<store_error>& failure);
     void fetch_state(const core::instance_id& from, std::uint64_t version);
     own_condition condition() const;
     bool ready() const;
-    void handle_directory(const http::request& received,
-                          const std::shared_ptr<http::responder>& caller);
     void handle_readiness(const http::request& received,
                           const std::shared_ptr<http::responder>& caller) const;
     void handle_internal(http::request received, const std::shared_ptr<http::responder>& caller);
@@ -98,7 +91,8 @@
     std::unique_ptr<job_service> jobs_;
     std::unique_ptr<caller_gateway> gateway_;
     std::unique_ptr<log_follower> state_follower_;
-    std::unique_ptr<log_follower> target_follower_;
+    std::unique_ptr<target_list> targets_;
+    std::unique_ptr<directory_service> directory_;
     std::unique_ptr<member_registry> registry_;
     std::unique_ptr<http::server> callers_server_;
     std::unique_ptr<http::server> readiness_server_;
@@ -106,16 +100,11 @@
     std::unique_ptr<http::server> internal_server_;
     kernel::gauge* state_version_gauge_ = nullptr;
     kernel::gauge* store_age_gauge_ = nullptr;
-    serving::target_directory targets_;
+    kernel::gauge* memory_gauge_ = nullptr;
     /// Between two reads of the desired state by this instance.
     std::chrono::milliseconds state_interval_{0};
     std::string state_record_;
     bool fetching_state_ = false;
-    bool follows_targets_ = false;
-    /// The list was read since this instance follows it.
-    bool targets_known_ = false;
-    std::uint64_t targets_published_ = 0;
-    std::uint64_t directory_turn_ = 0;
     std::size_t relay_turn_ = 0;
     double largest_capacity_ = 0;
     std::optional<core::time_point> leaving_since_;
@@ -136,8 +125,11 @@
     /// Translator of the callers' and targets' protocol; required.
     builder& with_protocol(std::unique_ptr<protocol> translator);
 
-    /// Makes the client of the platform's store on the node's loop; required.
-    builder& with_store(std::function<std::unique_ptr<store>(http::event_loop&)> make_store);
+    /// Makes the client of the platform's store on the node's loop, with the node's metrics.
+    using store_maker = std::function<std::unique_ptr<store>(http::event_loop&, kernel::metrics&)>;
+
+    /// Sets how the client of the store is made; required.
+    builder& with_store(store_maker make_store);
 
     /// Where log lines go; standard output if not set. Must outlive the node.
     builder& with_log(kernel::logger_settings settings);
@@ -148,7 +140,7 @@
 private:
     edge_settings settings_;
     std::unique_ptr<protocol> translator_;
-    std::function<std::unique_ptr<store>(http::event_loop&)> make_store_;
+    store_maker make_store_;
     kernel::logger_settings log_;
 };
 
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -38,7 +38,9 @@
       started_at_(steady_clock::now()), report_interval_(settings.leadership.interval),
       leads_gauge_(metrics.add_gauge("fleet_leads", "1 if this instance places for all")),
       waiting_gauge_(metrics.add_gauge("fleet_requests_waiting", "Requests that wait for a slot")),
-      running_gauge_(metrics.add_gauge("fleet_slots_used", "Slots in use, as the leader knows"))
+      running_gauge_(metrics.add_gauge("fleet_slots_used", "Slots in use, as the leader knows")),
+      slots_gauge_(metrics.add_gauge("fleet_slots", "Slots of the targets, as the leader knows")),
+      targets_gauge_(metrics.add_gauge("fleet_targets", "Targets that the leader places to"))
 {
 }
 
@@ -430,6 +432,8 @@
     const serving::scheduler_state state = placement_.slots().state();
     waiting_gauge_.set(static_cast<double>(state.online_waiting + state.batch_waiting));
     running_gauge_.set(static_cast<double>(state.online_running + state.batch_running));
+    slots_gauge_.set(static_cast<double>(state.slots));
+    targets_gauge_.set(static_cast<double>(state.targets));
 }
 
 void fleet_service::follow(const core::instance_id& leader, core::time_point now)
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -206,6 +206,8 @@
     kernel::gauge& leads_gauge_;
     kernel::gauge& waiting_gauge_;
     kernel::gauge& running_gauge_;
+    kernel::gauge& slots_gauge_;
+    kernel::gauge& targets_gauge_;
 };
 
 } // namespace gooseberryfall::edge
--- a/src/edge/slot_desk.cpp
+++ b/src/edge/slot_desk.cpp
@@ -29,12 +29,23 @@
     return basis == slot_basis::leader ? "leader" : "local";
 }
 
-slot_desk::slot_desk(fleet_service& fleet, kernel::logger& logger, desk_settings settings,
-                     std::uint64_t first_number)
-    : fleet_(fleet), logger_(logger), settings_(settings), next_number_(first_number)
+slot_desk::slot_desk(fleet_service& fleet, kernel::logger& logger, kernel::metrics& metrics,
+                     desk_settings settings, std::uint64_t first_number)
+    : fleet_(fleet), logger_(logger), settings_(settings), next_number_(first_number),
+      online_metrics_{
+          metrics.add_histogram("online_slot_wait", "Time that online requests waited for a slot"),
+          {metrics, "online_runs", "Runs of online requests at targets by outcome", "outcome"}},
+      batch_metrics_{
+          metrics.add_histogram("batch_slot_wait", "Time that batch items waited for a slot"),
+          {metrics, "batch_runs", "Runs of batch items at targets by outcome", "outcome"}}
 {
 }
 
+slot_desk::work_metrics& slot_desk::metrics_of(const entry& of)
+{
+    return of.call.question.kind == serving::work_kind::batch ? batch_metrics_ : online_metrics_;
+}
+
 void slot_desk::set_state(const serving::desired_state& state)
 {
     local_.set_state(state, steady_clock::now());
@@ -146,6 +157,7 @@
     const on_answer answer = found->second.answer;
     if (granted != nullptr) {
         found->second.where = stage::running;
+        metrics_of(found->second).wait.record(steady_clock::now() - found->second.begun_at);
         found->second.target = granted->target;
         if (!found->second.call.team.empty()) {
             spent_.record(found->second.call.team, steady_clock::now());
@@ -171,6 +183,9 @@
     ended.ended.duration = duration;
     ended.fingerprint = found->second.call.fingerprint;
     const slot_basis basis = found->second.basis;
+    if (found->second.where == stage::running) {
+        metrics_of(found->second).runs.count(serving::to_text(outcome));
+    }
     entries_.erase(found);
     if (basis == slot_basis::local) {
         handle_local(local_.on_end(ended, steady_clock::now()));
--- a/src/edge/slot_desk.hpp
+++ b/src/edge/slot_desk.hpp
@@ -49,8 +49,8 @@
     using on_answer = std::function<void(const slot_answer&)>;
 
     /// `first_number` is higher than any number of a former process at the same address.
-    slot_desk(fleet_service& fleet, kernel::logger& logger, desk_settings settings,
-              std::uint64_t first_number);
+    slot_desk(fleet_service& fleet, kernel::logger& logger, kernel::metrics& metrics,
+              desk_settings settings, std::uint64_t first_number);
 
     /// Asks for a slot and returns the number of the call, which names the run as well. The key in
     /// the question is set here. The answer never comes within this call.
@@ -98,6 +98,15 @@
         bool silent = false;
     };
 
+    /// What is counted of one kind of work.
+    struct work_metrics {
+        /// Time from a call to its slot.
+        kernel::latency_histogram& wait;
+        /// Runs by how they ended.
+        kernel::counter_family runs;
+    };
+
+    work_metrics& metrics_of(const entry& of);
     void send(entry& of, core::time_point now);
     void place_locally(entry& of, core::time_point now);
     void on_reply(const serving::slot_reply& reply, slot_basis basis);
@@ -114,6 +123,8 @@
     core::time_point doubted_until_{};
     /// Replies of the local placement that are delivered at the next tick at the latest.
     std::vector<serving::slot_reply> local_replies_;
+    work_metrics online_metrics_;
+    work_metrics batch_metrics_;
 };
 
 } // namespace gooseberryfall::edge
--- a/src/serving/target_health.cpp
+++ b/src/serving/target_health.cpp
@@ -4,6 +4,27 @@
 
 namespace gooseberryfall::serving {
 
+const char* to_text(slot_outcome outcome)
+{
+    switch (outcome) {
+    case slot_outcome::completed:
+        return "completed";
+    case slot_outcome::not_run:
+        return "not_run";
+    case slot_outcome::unreachable:
+        return "unreachable";
+    case slot_outcome::broken:
+        return "broken";
+    case slot_outcome::silent:
+        return "silent";
+    case slot_outcome::failed:
+        return "failed";
+    case slot_outcome::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 namespace {
 
 /// Doublings after which the pause has reached its maximum in any setting.
--- a/src/serving/target_health.hpp
+++ b/src/serving/target_health.hpp
@@ -25,6 +25,9 @@
     cancelled,
 };
 
+/// Text form. Thread-safe.
+const char* to_text(slot_outcome outcome);
+
 /// Settings of `target_health`.
 struct health_settings {
     /// First pause after a failure to connect or a silence; doubled with each one that follows.
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -136,16 +136,17 @@
     gooseberryfall::kernel::logger_settings log;
     logs_.at(instance) = std::make_unique<std::ostringstream>();
     log.out = logs_.at(instance).get();
-    nodes.at(instance) = edge::edge_node::builder()
-                             .with_settings(settings)
-                             .with_protocol(std::make_unique<adapter::platform_protocol>())
-                             .with_store([door](http::event_loop& loop) {
-                                 adapter::log_store_settings client;
-                                 client.address = door;
-                                 return std::make_unique<adapter::log_store>(loop, client);
-                             })
-                             .with_log(log)
-                             .build();
+    nodes.at(instance) =
+        edge::edge_node::builder()
+            .with_settings(settings)
+            .with_protocol(std::make_unique<adapter::platform_protocol>())
+            .with_store([door](http::event_loop& loop, gooseberryfall::kernel::metrics& metrics) {
+                adapter::log_store_settings client;
+                client.address = door;
+                return std::make_unique<adapter::log_store>(loop, metrics, client);
+            })
+            .with_log(log)
+            .build();
     const auto started = nodes.at(instance)->start();
     if (!started) {
         throw std::runtime_error(started.error());
@@ -183,6 +184,11 @@
     return endpoint(instance, directory_port);
 }
 
+std::string edge_deployment::internal_address(std::size_t instance) const
+{
+    return endpoint(instance, internal_port);
+}
+
 http::call_result edge_deployment::call(std::size_t instance, const std::string& method,
                                         const std::string& target,
                                         const http::header_fields& headers, const std::string& body)
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -77,6 +77,7 @@
     std::string callers_address(std::size_t instance) const;
     std::string readiness_address(std::size_t instance) const;
     std::string directory_address(std::size_t instance) const;
+    std::string internal_address(std::size_t instance) const;
 
     /// Runs of a request at all engines.
     std::vector<gooseberryfall::stand_ins::engine_run> runs_of(const std::string& request) const;
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -6,8 +6,11 @@
 
 #include <criterion/criterion.h>
 
+#include <fstream>
 #include <future>
+#include <iterator>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -453,6 +456,34 @@
     cr_assert_eq(directory.body.find(deployment.callers_address(0)), std::string::npos);
 }
 
+// Guards against metrics that on-call engineers look for in vain: each one that an instance exposes
+// is in docs/OPERATIONS.md, and what requests and jobs do shows in them.
+Test(edge_node, metrics_show_the_work_and_are_documented, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 1});
+    deployment.wait_until_serving();
+    cr_assert_eq(deployment.stream(0, "r1").head.status, 200U);
+    cr_assert(eventually([&] { return deployment.submit(0, "job", 2) == 202; }));
+    cr_assert_eq(result_count(deployment.all_results(0, "job", 2)), 2U);
+    const std::string text = http::call(deployment.internal_address(0), "GET", "/metrics").body;
+    for (const char* series :
+         {"online_runs{outcome=\"completed\"}", "batch_runs{outcome=\"completed\"}",
+          "store_calls{outcome=\"done\"}", "online_slot_wait_count", "process_memory_bytes"}) {
+        cr_assert_neq(text.find(series), std::string::npos, "%s is missing", series);
+    }
+    std::ifstream page(SOURCE_ROOT "/docs/OPERATIONS.md");
+    const std::string documented(std::istreambuf_iterator<char>(page), {});
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("# TYPE ")) {
+            const std::string name = line.substr(7, line.find(' ', 7) - 7);
+            cr_assert(documented.find("`" + name + "`") != std::string::npos ||
+                          documented.find("`" + name + "{") != std::string::npos,
+                      "%s is not in docs/OPERATIONS.md", name.c_str());
+        }
+    }
+}
+
 // Guards against bounds that stay as they were when the settings file changes, and against a file
 // with faults that puts some of its content in force.
 Test(edge_node, changed_bounds_take_effect, .timeout = 60)
--- a/tests/edge/tests.cmake
+++ b/tests/edge/tests.cmake
@@ -3,5 +3,7 @@
 target_link_libraries(edge_test_support PUBLIC gooseberryfall_adapter gooseberryfall_platform_stand_ins
     Boost::json)
 add_tests(edge edge_test_support)
+# The page that lists the metrics.
+target_compile_definitions(edge_edge_node_test PRIVATE SOURCE_ROOT="${PROJECT_SOURCE_DIR}")
 # Several instances for each test: beside other programs their threads would wait for processors.
 set_tests_properties(edge_edge_node_test PROPERTIES RUN_SERIAL TRUE)
--- a/tests/kernel/kernel_test.cpp
+++ b/tests/kernel/kernel_test.cpp
@@ -189,6 +189,19 @@
     cr_assert(second.str().empty());
 }
 
+// Guards against a series for each count, and against values that are mixed up.
+Test(metrics, a_family_has_a_series_for_each_value)
+{
+    kernel::metrics all;
+    kernel::counter_family runs(all, "runs", "Runs.", "outcome");
+    runs.count("done");
+    runs.count("failed");
+    runs.count("done");
+    const std::string text = all.exposition();
+    cr_assert(contains(text, "runs{outcome=\"done\"} 2"));
+    cr_assert(contains(text, "runs{outcome=\"failed\"} 1"));
+}
+
 // Guards against buckets that are not cumulative, or that exclude their own bound.
 Test(metrics, exposition_has_cumulative_buckets_and_escaped_labels)
 {
