serving: do not multiply calls that the store refuses to all

Cause: a call that the store refuses was passed to up to three other instances, each of which calls the store again and, refused as well, counts itself as turned away. When a large fleet starts at once it makes more calls than the store takes in a second, and the relays multiply them. Ruled out: telling a refusal for all from one for this instance by its status: the store uses 429 and 503 for both. Change: store_route (serving) decides about the way; after a call that was refused by way of all tries nobody is asked for a second.

--- a/src/serving/serving.hpp
+++ b/src/serving/serving.hpp
@@ -13,6 +13,7 @@
 #include "serving/return_planner.hpp"
 #include "serving/slot_scheduler.hpp"
 #include "serving/spend_window.hpp"
+#include "serving/store_route.hpp"
 #include "serving/target_directory.hpp"
 #include "serving/target_health.hpp"
 #include "serving/team_limits.hpp"
