serving, edge: usual terms in comments about leaders and members

Cause: comments spoke of words of the leader and of who hears whom, which are no terms of the field. Change: heartbeats, reports and removal; comments only.

--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -17,10 +17,10 @@
 
 /// Settings of `fleet_service` that may change while it runs.
 struct fleet_bounds {
-    /// An instance that has not heard from the store for so long is no fit leader.
+    /// An instance whose last answer of the store is older is no fit leader.
     std::chrono::milliseconds store_silence{1300};
-    /// A leader gives way to an instance that has heard from the store so much later. More than the
-    /// interval of the reads: while the store is away for all, ages differ by less.
+    /// A leader gives way to an instance whose last answer of the store is newer by this. More than
+    /// the interval of the reads: while the store is away for all, ages differ by less.
     std::chrono::milliseconds store_lead{900};
     serving::limit_tolerance tolerance;
 
@@ -58,7 +58,7 @@
     std::function<void(const core::instance_id& leader, std::uint64_t version)> on_newer_state;
     /// An instance that owned job partitions has fallen silent, as this one notes as the leader.
     std::function<void(const core::instance_id&)> on_owner_silent;
-    /// A member has gone for good.
+    /// A member is removed.
     std::function<void(const serving::fleet_member&)> on_member_gone;
 };
 
@@ -102,7 +102,7 @@
     /// The next report is sent at once: what this instance tells about itself has changed.
     void hurry_report() { report_hurried_ = true; }
 
-    /// Gives a message to whoever leads. False if nobody is known to.
+    /// Gives a message to the leader. False if none is known.
     bool tell_leader(const serving::peer_message& message);
 
     /// Nothing listens at an instance's address: the leader need not wait for its silence.
--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -202,7 +202,7 @@
     if (done_) {
         return;
     }
-    // The call's end is not heard of any more.
+    // The end of the call is ignored from now on.
     done_ = true;
     cancel_call();
     end_slot(serving::slot_outcome::cancelled);
--- a/src/edge/job_group.hpp
+++ b/src/edge/job_group.hpp
@@ -32,7 +32,7 @@
 };
 
 /// The instances that share the partitions of the batch jobs, as a group of the platform's store.
-/// A member's name is its address, so that whoever sees that it has gone can have it removed.
+/// A member's name is its address, so that others can have it removed once it has ended.
 /// For the loop's thread.
 class job_group {
 public:
--- a/src/edge/slot_desk.hpp
+++ b/src/edge/slot_desk.hpp
@@ -34,7 +34,7 @@
 struct desk_settings {
     /// A call is repeated after this time without any answer: a round trip takes a few ms.
     std::chrono::milliseconds repeat_after{40};
-    /// Without a word of the leader to this call for so long, an online request is placed here.
+    /// Without any answer of the leader to this call for so long, an online request is placed here.
     std::chrono::milliseconds doubt_after{130};
     /// Time for which a leader that did not answer is not asked for online requests.
     std::chrono::milliseconds doubt_time{400};
--- a/src/serving/fleet_roster.hpp
+++ b/src/serving/fleet_roster.hpp
@@ -16,7 +16,7 @@
 struct roster_settings {
     /// An instance that misses this many reports is not named to callers any more.
     int reports_missed = 6;
-    /// An instance whose reports stay away for this long has gone for good.
+    /// An instance that has not reported for this long is removed.
     std::chrono::milliseconds member_lifetime{30000};
     /// A block that was sent is not sent again for this long: the report that acknowledges it may
     /// still be on its way.
@@ -52,8 +52,7 @@
     void take_report(const core::instance_id& from, const instance_report& report,
                      core::time_point now);
 
-    /// Instances that have fallen silent since the last look, and those that have gone for good and
-    /// are forgotten.
+    /// Instances that have stopped to report since the last check, and those that are removed.
     struct departures {
         struct silent_member {
             fleet_member member;
@@ -71,11 +70,11 @@
     /// Blocks that an instance has to be told; they count as sent.
     std::vector<const fleet_block*> take_missing(const core::instance_id& of, core::time_point now);
 
-    /// Whether this instance, as the leader, has heard of the other one.
+    /// Whether the other instance has reported to this one as the leader.
     bool has_reported(const core::instance_id& of) const;
 
-    /// Part of the instances that lives: a leader that hears only some of them gives out only that
-    /// part of the limits.
+    /// Part of the instances that is alive: a leader that gets reports from some of them only gives
+    /// out only that part of the limits.
     double living_share() const;
 
     /// What the instances have reported as spent in the last `window`, beside `own`, which this
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-/// A leader heard of this many intervals ago may be dead: others are not told of it any more.
+/// A leader whose last heartbeat is this many intervals old may be dead: others are not told of it.
 constexpr double tell_intervals = 1.5;
 
 milliseconds scale(milliseconds value, double factor)
@@ -128,7 +128,7 @@
     auto wait = resigned_
                     ? settings_.step * static_cast<int>(position())
                     : settings_.search + (position() > 0 ? settings_.search_step : milliseconds(0));
-    // Once others are heard, a fit one among them is a better candidate.
+    // Once others are known, a fit one among them is a better candidate.
     if (!fit && candidates_.empty()) {
         wait += settings_.unfit_delay;
     }
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -32,15 +32,16 @@
 
 /// Settings of `leadership`.
 struct leadership_settings {
-    /// Between two words of the leader, in a fleet of up to 100 instances. Larger fleets have
+    /// Between two heartbeats of the leader, in a fleet of up to 100 instances. Larger fleets have
     /// `interval_per_member` for each, so that the leader's messages a second stay bounded.
     std::chrono::milliseconds interval{100};
     std::chrono::milliseconds interval_per_member{1};
-    /// A leader that misses two words and half of the time to the third is searched for.
+    /// Intervals without a heartbeat after which another leader is searched for: two are missed.
     double silence_intervals = 2.5;
-    /// Time in which whoever knows a leader answers a search, several round trips in a region.
+    /// Time in which instances that know a leader answer a search, several round trips in a
+    /// region.
     std::chrono::milliseconds search{80};
-    /// Added to a search by whoever is not the first one of the registered instances. Not more for
+    /// Added to a search by all but the first one of the registered instances. Not more for
     /// each: after all have ended, most entries that rank first are those of ended processes.
     std::chrono::milliseconds search_step{20};
     /// Between two rounds of questions in a search.
@@ -62,19 +63,19 @@
     std::chrono::milliseconds lone_wait{700};
     /// A leader that was not running for this long has probably been replaced.
     std::chrono::milliseconds pause_max{300};
-    /// An instance that cannot read the platform's store and hears no other candidate gives the
+    /// An instance that cannot read the platform's store and knows no other candidate gives the
     /// others this much longer to take the leader's place.
     std::chrono::milliseconds unfit_delay{800};
 };
 
 /// Which instance places the requests of the whole fleet.
 ///
-/// The leader is only a convenience: whoever places gives out slots, and two leaders for a moment
+/// The leader only gives out slots, and two leaders for a moment
 /// put some requests into a target's own queue. No promise depends on there being one, so no
-/// agreement is needed; each instance follows whom it hears.
+/// agreement is needed; each instance follows the leader whose heartbeats it gets.
 ///
 /// Load pattern: all processes end and start again within some ms, and callers come at full rate.
-/// An instance without a leader asks the others: whoever knows one says so, and if nobody does,
+/// An instance without a leader asks the others: those that know one answer, and if none does,
 /// the candidate that ranks first leads after `search`. Deterministic; not thread-safe.
 class leadership {
 public:
@@ -83,14 +84,15 @@
     /// All instances that are registered.
     void set_members(const std::vector<fleet_member>& members);
 
-    /// Another instance leads and speaks at this interval. `resigning`: it has just stopped to.
+    /// A heartbeat of another leader, which sends them at this interval. `resigning`: it has just
+    /// stopped to.
     void on_digest(const fleet_member& from, bool resigning, std::chrono::milliseconds interval,
                    core::time_point now);
 
     /// Another instance searches for a leader, too. `fit`: it can read the store.
     void on_candidate(const fleet_member& from, bool fit, core::time_point now);
 
-    /// Another instance has heard a leader lately.
+    /// Another instance has had a heartbeat of a leader lately.
     void on_hint(core::time_point now) { hint_at_ = now; }
 
     /// Time has passed; to be called every 20 ms or so. `fit`: this instance can read the store.
@@ -106,16 +108,16 @@
 
     bool leads() const { return leads_; }
 
-    /// Whom to ask for slots: the leader, if it was heard of lately and is not this instance.
+    /// The leader, if its heartbeats are recent and it is not this instance.
     std::optional<core::instance_id> leader(core::time_point now) const;
 
-    /// The leader, if it was heard of so lately that others may be told of it.
+    /// The leader, if its last heartbeat is so recent that others may be told of it.
     std::optional<fleet_member> leader_to_tell(core::time_point now) const;
 
     /// Time without a leader; zero if there is one.
     core::duration leaderless_for(core::time_point now) const;
 
-    /// Between two words to the others while this instance leads.
+    /// Between two heartbeats while this instance leads.
     std::chrono::milliseconds interval() const;
 
     const fleet_member& self() const { return self_; }
@@ -137,10 +139,10 @@
     leadership_settings settings_;
     /// By rank, the first one first.
     std::vector<fleet_member> members_;
-    /// Others are known, by the list of instances or by a leader that was heard.
+    /// Others are known, by the list of instances or by a heartbeat.
     bool others_known_ = false;
     std::optional<fleet_member> leader_;
-    /// Interval at which the leader speaks.
+    /// Interval of the leader's heartbeats.
     std::chrono::milliseconds leader_interval_;
     core::time_point heard_at_;
     core::time_point ticked_at_;
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -122,7 +122,7 @@
     bool fit = false;
 };
 
-/// Answers with the leader that the sender hears.
+/// Answers with the leader that the sender follows.
 struct leader_hint {
     fleet_member leader;
 };
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -114,7 +114,7 @@
     std::chrono::milliseconds first_event_guess{60};
     /// Milliseconds for a token before any has been measured.
     double token_time_guess = 4.0;
-    /// A run that its instance does not report for this long has ended without a word.
+    /// A run that its instance does not report for this long has ended without a message.
     std::chrono::milliseconds unreported_max{900};
     /// A waiting batch item that is not asked for again is dropped after this time.
     std::chrono::milliseconds batch_question_lifetime{3000};
