serving, edge, soak: one hash for each block that is sent, one place for paths of the soak's files

Cause: fleet_roster hashed each block that it sent twice, the soak composed the path of a settings file in three places, and edge_node copied its bounds before it applied them. Ruled out: marks handed out by fleet_view_source, which would change its interface and tests for blocks that are rarely sent.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -84,7 +84,7 @@
         store_links_.push_back(links_.open(store_.address(doors_.back())));
         caller_links_.push_back(links_.open(address(index, callers_port)));
         daemons_.push_back(std::make_unique<daemon_process>());
-        write_settings(index);
+        write_settings(index, settings_text(index, 0));
     }
 }
 
@@ -141,10 +141,14 @@
     return out.str();
 }
 
-void soak_run::write_settings(std::size_t instance, std::uint64_t variant) const
+std::string soak_run::file_of(std::size_t instance, const char* ending) const
 {
-    const std::string file = options_.folder + "/" + std::to_string(instance) + ".toml";
-    std::ofstream(file) << settings_text(instance, variant);
+    return options_.folder + "/" + std::to_string(instance) + ending;
+}
+
+void soak_run::write_settings(std::size_t instance, const std::string& text) const
+{
+    std::ofstream(file_of(instance, ".toml")) << text;
 }
 
 void soak_run::change_settings()
@@ -154,19 +158,17 @@
     while (!faults_over_) {
         std::this_thread::sleep_for(milliseconds(200 + draw(random, 2000)));
         const std::size_t instance = draw(random, options_.instances);
-        const std::uint64_t variant = random();
+        const std::string text = settings_text(instance, random());
         const bool in_steps = draw(random, 3) == 0;
         const bool announced = draw(random, 2) == 0;
         if (in_steps) {
-            const std::string text = settings_text(instance, variant);
-            std::ofstream(options_.folder + "/" + std::to_string(instance) + ".toml")
-                << text.substr(0, draw(random, text.size()));
+            write_settings(instance, text.substr(0, draw(random, text.size())));
             if (announced) {
                 signal(instance, SIGHUP);
             }
             std::this_thread::sleep_for(milliseconds(draw(random, 300)));
         }
-        write_settings(instance, variant);
+        write_settings(instance, text);
         if (announced) {
             signal(instance, SIGHUP);
         }
@@ -177,8 +179,8 @@
 
 void soak_run::start(std::size_t instance)
 {
-    const std::string base = options_.folder + "/" + std::to_string(instance);
-    if (!daemons_[instance]->start(options_.daemon, base + ".toml", base + ".log")) {
+    if (!daemons_[instance]->start(options_.daemon, file_of(instance, ".toml"),
+                                   file_of(instance, ".log"))) {
         note("cannot start " + options_.daemon);
     }
 }
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -48,9 +48,11 @@
 
 private:
     void put_state(std::uint64_t version);
-    /// Writes the settings file of an instance. `variant` draws values that may change at any time.
-    void write_settings(std::size_t instance, std::uint64_t variant = 0) const;
+    /// Path of an instance's file with this ending.
+    std::string file_of(std::size_t instance, const char* ending) const;
+    /// Settings of an instance. `variant` draws values that may change at any time.
     std::string settings_text(std::size_t instance, std::uint64_t variant) const;
+    void write_settings(std::size_t instance, const std::string& text) const;
     /// Changes settings files, with a signal or without, some of them in two steps.
     void change_settings();
     /// Starts daemons that have ended, as the platform does, until the run ends.
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -189,7 +189,7 @@
             }
             fleet_->set_members(members);
         });
-    apply_bounds(edge_bounds(settings_.bounds));
+    apply_bounds(settings_.bounds);
 }
 
 edge_node::~edge_node()
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -158,14 +158,15 @@
     member_state& state = found->second;
     std::vector<const fleet_block*> result = view_.missing(of, state.held);
     std::erase_if(result, [&](const fleet_block* block) {
-        const block_mark mark = block->mark();
-        const auto sent = state.sent.find(block->id);
-        return sent != state.sent.end() && sent->second.first == mark &&
-               now - sent->second.second < settings_.block_resend;
+        const std::pair sending(block->mark(), now);
+        const auto [sent, first] = state.sent.try_emplace(block->id, sending);
+        const bool on_its_way = !first && sent->second.first == sending.first &&
+                                now - sent->second.second < settings_.block_resend;
+        if (!on_its_way) {
+            sent->second = sending;
+        }
+        return on_its_way;
     });
-    for (const fleet_block* block : result) {
-        state.sent[block->id] = {block->mark(), now};
-    }
     return result;
 }
 
