core, cli: report a refused change once the audit trail shows it

The append delay of 1.5 s holds the loser's record back for longer than the 6 s that an instance waits for the log. The command then got "may have run", saw the winner's change on the same base in the audit trail, and reported the conflict before its own refusal was recorded (trace: the winner is in force at 52.3 s, the loser's command ends after 56.1 s, the trail of instance 0 at 56.9 s ends with the winner). Change: the command waits for the refusal of its own change, up to its timeout, and then says that the trail does not show it yet. An instance answers a refusal, like an acceptance, when all members have applied its record, or after 6 s.

--- a/src/cli/fleet_editor.cpp
+++ b/src/cli/fleet_editor.cpp
@@ -227,38 +227,58 @@
 fleet_editor::find_outcome(const sent_change& sent, const std::vector<core::audit_entry>& trail)
 {
     for (const core::audit_entry& entry : trail) {
-        if (entry.base != sent.request.base || entry.offset < sent.offset_min) {
+        const bool is_own = entry.base == sent.request.base && entry.offset >= sent.offset_min &&
+                            matches_request(entry, sent.request);
+        if (!is_own) {
             continue;
         }
-        const bool is_own = matches_request(entry, sent.request);
         if (entry.refused.empty()) {
-            // At most one change can be based on a version. If somebody else's was recorded, this
-            // one never takes effect.
-            if (is_own && has_same_content(sent, entry.version)) {
+            if (has_same_content(sent, entry.version)) {
                 return make_recorded_reply(entry.version);
             }
-            return tl::unexpected(make_conflict(sent.request.base, trail));
+            continue;
         }
-        if (is_own) {
-            return make_failure(exit_code::rejected, "the change was refused: " + entry.refused,
-                                "correct what the message names; the fleet in force is unchanged");
+        if (is_superseded(sent, trail)) {
+            return tl::unexpected(make_conflict(sent.request.base, trail));
         }
+        return make_failure(exit_code::rejected, "the change was refused: " + entry.refused,
+                            "correct what the message names; the fleet in force is unchanged");
     }
     return std::nullopt;
 }
 
+bool fleet_editor::is_superseded(const sent_change& sent,
+                                 const std::vector<core::audit_entry>& trail)
+{
+    return std::any_of(trail.begin(), trail.end(), [&](const core::audit_entry& entry) {
+        return entry.refused.empty() && entry.base == sent.request.base &&
+               entry.offset >= sent.offset_min;
+    });
+}
+
 result<core::apply_reply> fleet_editor::resolve_outcome(const sent_change& sent,
                                                         const failure& response_failure)
 {
     const auto deadline = clock::now() + settings_.timeout;
+    std::optional<failure> conflict;
     do {
         const auto trail = audit();
-        if (trail) {
-            if (auto outcome = find_outcome(sent, *trail)) {
-                return std::move(*outcome);
-            }
+        if (!trail) {
+            continue;
+        }
+        if (auto outcome = find_outcome(sent, *trail)) {
+            return std::move(*outcome);
+        }
+        if (is_superseded(sent, *trail)) {
+            // At most one change can be based on a version, so that the change sent never takes
+            // effect. Its refusal may still be on its way to the audit trail.
+            conflict = make_conflict(sent.request.base, *trail);
         }
     } while (sleep_until_next_poll(deadline));
+    if (conflict) {
+        conflict->message += "\nthe audit trail does not show the refusal of this change yet";
+        return tl::unexpected(*conflict);
+    }
     return make_failure(
         exit_code::outcome_unknown,
         response_failure.message + "\nthe audit trail did not show the change within " +
--- a/src/cli/fleet_editor.hpp
+++ b/src/cli/fleet_editor.hpp
@@ -60,10 +60,12 @@
     /// decoded.
     result<core::apply_reply> resolve_outcome(const sent_change& sent,
                                               const failure& response_failure);
-    /// Outcome according to the audit trail. Nothing if the trail holds neither the change nor one
-    /// that rules it out.
+    /// Outcome according to the audit trail. Nothing if the trail does not hold the change.
     std::optional<result<core::apply_reply>>
     find_outcome(const sent_change& sent, const std::vector<core::audit_entry>& trail);
+    /// Whether another change based on the same version has been accepted, which rules out the one
+    /// sent.
+    static bool is_superseded(const sent_change& sent, const std::vector<core::audit_entry>& trail);
     /// Whether the recorded change has the content of the one sent. Also true if this cannot be
     /// compared, because the fleet cannot be read or has another version by now.
     bool has_same_content(const sent_change& sent, core::config_version version);
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -115,17 +115,8 @@
         }
         const audit_entry& entry = parts_.state.audit().back();
         found->offset = group.offset;
-        if (entry.refused.empty()) {
-            found->version = entry.version;
-            continue;
-        }
-        apply_reply reply;
-        reply.request = found->request;
-        reply.version = parts_.state.current().version;
-        reply.refused = entry.refused;
-        reply.members = static_cast<std::uint32_t>(parts_.state.members().size());
-        parts_.emit(reply);
-        applies_.erase(found);
+        found->version = entry.refused.empty() ? entry.version : parts_.state.current().version;
+        found->refused = entry.refused;
     }
 }
 
@@ -206,6 +197,7 @@
     apply_reply reply;
     reply.request = pending.request;
     reply.version = pending.version;
+    reply.refused = pending.refused;
     reply.applied =
         static_cast<std::uint32_t>(parts_.freshness.applied_count(pending.offset.value_or(0)));
     reply.members = static_cast<std::uint32_t>(parts_.state.members().size());
--- a/src/core/control_log.hpp
+++ b/src/core/control_log.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace gooseberryfall::core {
@@ -58,11 +59,16 @@
         time_point deadline;
         /// Offset of the record once it has been read back.
         std::optional<log_offset> offset;
+        /// Version in force after the record.
         config_version version = 0;
+        /// Why the change was refused; empty if it was accepted.
+        std::string refused;
     };
 
     void apply_groups(const std::vector<control_group>& groups, time_point now);
     void resolve_applies(const control_group& group);
+    /// Answers changes whose record every member has applied, or whose time is up. A refusal waits
+    /// like an acceptance, so that the audit trail of every instance shows it.
     void answer_applies(time_point now);
     void answer(const pending_apply& pending);
     /// Asks the seeds for the state while this instance has none and cannot read the log.
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -189,7 +189,9 @@
                                  apply_behaviour::imitate_and_drop_response}) {
         test_deployment deployment;
         deployment.one.behaviour = behaviour;
-        EXPECT_EXIT_STATUS(deployment.apply(), 4);
+        const program_result result = deployment.apply();
+        EXPECT_EXIT_STATUS(result, 4);
+        cr_assert(result.error_contains("does not show the refusal"));
         cr_assert_eq(deployment.apply_posts(), 1);
     }
     test_deployment deployment;
@@ -206,6 +208,20 @@
     EXPECT_EXIT_STATUS(deployment.apply(), 0);
 }
 
+/// Guards against a command that reports a conflict, which it infers from the change that was
+/// faster, before the refusal of its own change is in the audit trail.
+Test(program, reports_a_conflict_once_its_refusal_is_recorded)
+{
+    test_deployment deployment;
+    deployment.one.behaviour = apply_behaviour::overtake_and_reject_late;
+    const program_result result = deployment.apply();
+    EXPECT_EXIT_STATUS(result, 4);
+    const core::audit_entry& last = deployment.system.audit.back();
+    cr_assert(last.comment == "why" && !last.refused.empty(),
+              "the audit trail lacks the refusal of this change");
+    cr_assert_not(result.error_contains("does not show the refusal"));
+}
+
 /// Guards against a key that is printed twice, differs from the recorded one, or is lost on a
 /// conflict.
 Test(program, issues_a_key)
--- a/tests/cli/stub_instance.hpp
+++ b/tests/cli/stub_instance.hpp
@@ -10,8 +10,10 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cli = gooseberryfall::cli;
@@ -28,6 +30,9 @@
     drop_response,
     /// Another author's change is recorded instead; the connection closes before the response.
     overtake_and_drop_response,
+    /// Another author's change is recorded, the connection closes before the response, and the
+    /// rejection of the change sent is recorded only after the audit trail has been read twice.
+    overtake_and_reject_late,
     /// A change of other content that looks the same in the audit trail is recorded instead; the
     /// connection closes before the response.
     imitate_and_drop_response,
@@ -49,6 +54,17 @@
     core::job_status job{core::job_id("j1"), core::team_id("namur"), 3, 1, 0, false, false, {}};
     /// Changes by another author, recorded just before the next POST to `/v1/apply`.
     std::vector<core::fleet_entry> concurrent_upserts;
+    /// A change that is recorded after `reads_until_recorded` reads of the audit trail.
+    std::optional<core::operator_apply> late_change;
+    int reads_until_recorded = 0;
+
+    /// Records `late_change` if it is due.
+    void on_audit_read()
+    {
+        if (late_change && --reads_until_recorded < 0) {
+            record(*std::exchange(late_change, std::nullopt));
+        }
+    }
 
     /// Records a change, or its rejection, as the control stream does.
     core::apply_reply record(const core::operator_apply& request)
@@ -175,6 +191,7 @@
             send(to, config::to_json(system_.fleet));
         }
         else if (request.target == "/v1/audit") {
+            system_.on_audit_read();
             send(to, config::to_json(system_.audit));
         }
         else if (request.target == "/v1/jobs/j1") {
@@ -205,6 +222,11 @@
         case apply_behaviour::overtake_and_drop_response:
             system_.record_by("maria", core::model{core::model_id("proofing"), 9});
             break;
+        case apply_behaviour::overtake_and_reject_late:
+            system_.record_by("maria", core::model{core::model_id("proofing"), 9});
+            system_.late_change = request;
+            system_.reads_until_recorded = 2;
+            break;
         case apply_behaviour::imitate_and_drop_response:
             std::get<core::team>(request.change.upserts.at(0)).rate = 77;
             system_.record(request);
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -281,6 +281,35 @@
     cr_assert_not(deployment.result(conflict).applied.refused.empty());
 }
 
+// Guards against a refusal that an operator is told of before the audit trail of every instance
+// shows it: a refusal changes no version, so that nobody waits for the instances to agree on it.
+Test(node, refusal_of_a_change_is_in_every_audit_trail)
+{
+    fake_deployment deployment(52);
+    cr_assert(deployment.start(fake_deployment::make_fleet({make_team("a", 50, 50)}, 2, 8)));
+    core::fleet_difference change;
+    change.removals.push_back({core::entry_kind::api_key, "key-a"});
+    const auto version = deployment.node_of(0).state().current().version;
+    const auto accepted = deployment.apply(0, version, change);
+    deployment.run_for(seconds(4));
+    cr_assert(deployment.result(accepted).completed);
+    deployment.cut_from_log(3, true);
+    deployment.cut_from_peers(3, true);
+    const auto refused = deployment.apply(1, version, change);
+    deployment.run_for(milliseconds(1500));
+    cr_assert_not(deployment.result(refused).ended, "instance 3 cannot know of the refusal");
+    deployment.cut_from_log(3, false);
+    deployment.cut_from_peers(3, false);
+    cr_assert(deployment.run_until([&] { return deployment.result(refused).ended; }, seconds(6)));
+    cr_assert_not(deployment.result(refused).applied.refused.empty());
+    for (std::uint32_t instance = 0; instance < deployment.size(); ++instance) {
+        const auto& trail = deployment.node_of(instance).state().audit();
+        cr_assert(!trail.empty() &&
+                      trail.back().refused == deployment.result(refused).applied.refused,
+                  "instance %u", instance);
+    }
+}
+
 // Guards against dispatches after a cancel has been acknowledged.
 Test(node, dispatches_nothing_after_a_cancel)
 {
