edge: send a new desired state from instance to instance, with paced reads of the store

Every one of 295 instances reads it from the store (some 0.5 MB each, 80 MB/s for all reads) and asks the instance that announced it, which holds a copy of the state for each asker. A read ends after 550 ms without a byte and is repeated after 150 ms; its bytes are sent all the same, so that the queue of the store grows without end (test: 300 such readers never end, more than 3,000 calls in 20 s). Ruled out: Beast's deflate in place of zlib; it loses the end of bytes that cannot be compressed. An instance fetches an announced state from the instance that has it, compressed, at a time spread by the size of the fleet, with the offset of its record, so that it does not read the record itself. The sender serves eight at a time and sends others on to instances that got it, or tells them when to come back. At a start, fleets beyond 24 instances spread their first reads of the state. An instance that knows no other and cannot read the store does not lead. Reads of the members count as reads of the store.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -43,7 +43,6 @@
 
 constexpr std::size_t answer_buffer_bytes = 128U << 10U;
 
-constexpr const char* state_path = "/state";
 /// Store calls that this instance relays for instances whose calls the store rejects.
 constexpr const char* store_relay_path = "/store";
 
@@ -134,7 +133,7 @@
         admission_->on_message(message);
     };
     callbacks.on_newer_state = [this](const core::instance_id& from, std::uint64_t version) {
-        fetch_state(from, version);
+        state_sync_->on_announcement(from, version, fleet_->member_count());
     };
     callbacks.on_owner_unresponsive = [this](const core::instance_id& instance) {
         jobs_->remove_instance(instance);
@@ -154,22 +153,14 @@
                      *fleet_, settings_.timeouts, self.data_centre, nullptr});
     jobs_ = std::make_unique<job_service>(*context_, *store_, *peers_client_, settings_.jobs);
     gateway_ = std::make_unique<caller_gateway>(*context_, *jobs_);
-    state_follower_ = std::make_unique<log_follower>(
-        *store_, translator_->state_partition(),
-        follower_callbacks{[this](const std::map<std::string, std::string>& snapshot) {
-                               const auto found = snapshot.find(translator_->state_key());
-                               if (found != snapshot.end()) {
-                                   apply_state(found->second, "store");
-                               }
-                           },
-                           [this](const std::string& key, const std::string& value) {
-                               if (key == translator_->state_key()) {
-                                   apply_state(value, "store");
-                               }
-                           },
-                           [this](const std::optional<store_error>& failure) {
-                               log_reachability("desired_state", failure);
-                           }});
+    state_sync_ = std::make_unique<state_sync>(
+        *logger_, *store_, *peers_client_, translator_->state_partition(), translator_->state_key(),
+        self.id,
+        state_sync_callbacks{
+            [this](const std::string& value, const char* source) { apply_state(value, source); },
+            [this](const std::optional<store_error>& failure) {
+                log_reachability("desired_state", failure);
+            }});
     targets_ = std::make_unique<target_list>(*store_, *logger_, *translator_, *fleet_,
                                              settings_.target_poll_interval,
                                              [this](const std::optional<store_error>& failure) {
@@ -205,7 +196,7 @@
         readiness_server_.reset();
         jobs_.reset();
         registry_.reset();
-        state_follower_.reset();
+        state_sync_.reset();
         targets_.reset();
         targets_client_.reset();
         peers_client_.reset();
@@ -326,13 +317,16 @@
 
 void edge_node::poll_store(core::time_point now)
 {
-    state_follower_->tick(now, state_poll_interval_);
     const bool leaderless = !fleet_->has_leader();
+    state_sync_->tick(
+        now, state_poll_interval_,
+        {fleet_->leads(), registry_->loaded() || !leaderless, fleet_->member_count()});
     if (leaderless || fleet_->leads()) {
         registry_->tick(now, leaderless ? settings_.leaderless_poll_interval
                                         : settings_.member_poll_interval);
     }
-    const auto read_at = std::max(state_follower_->last_read_sent_at(), jobs_->last_join_sent_at());
+    const auto read_at = std::max({state_sync_->last_read_sent_at(), jobs_->last_join_sent_at(),
+                                   registry_->last_read_sent_at()});
     fleet_->set_store_read_at(read_at);
     if (read_at) {
         store_age_gauge_->set(std::chrono::duration<double>(now - *read_at).count());
@@ -376,7 +370,7 @@
     if (context_->routes != nullptr && state->version <= current) {
         return;
     }
-    encoded_state_ = value;
+    state_sync_->set_state(state->version, value);
     logger_->write(kernel::log_level::info, "state_taken",
                    {{"version", std::to_string(state->version)},
                     {"before", std::to_string(current)},
@@ -406,34 +400,6 @@
     internal_server_->set_limits(applied);
 }
 
-void edge_node::fetch_state(const core::instance_id& from, std::uint64_t version)
-{
-    state_follower_->trigger_read();
-    if (fetching_state_) {
-        return;
-    }
-    fetching_state_ = true;
-    http::client_request request;
-    request.address = from.value();
-    request.target = state_path;
-    request.timeouts.connect = milliseconds(300);
-    request.timeouts.first_byte = milliseconds(500);
-    http::call_observer observer;
-    observer.on_done = [this, alive = alive_, version](const http::call_result& result) {
-        if (!*alive) {
-            return;
-        }
-        fetching_state_ = false;
-        if (result.outcome == http::call_outcome::completed && result.head.status == 200) {
-            apply_state(result.body, "instance");
-            return;
-        }
-        logger_->write(kernel::log_level::warning, "state_not_fetched",
-                       {{"version", std::to_string(version)}, {"reason", result.reason}});
-    };
-    peers_client_->start(std::move(request), std::move(observer));
-}
-
 instance_status edge_node::local_status() const
 {
     instance_status current_status;
@@ -469,12 +435,8 @@
             {200, {{"Content-Type", kernel::metrics::content_type}}, metrics_->exposition()});
         return;
     }
-    if (received.target == state_path) {
-        if (context_->routes == nullptr) {
-            caller->send({503, {}, {}});
-            return;
-        }
-        caller->send({200, {}, encoded_state_});
+    if (received.target.starts_with(state_sync::path)) {
+        state_sync_->handle(received, caller);
         return;
     }
     if (received.target.starts_with(store_relay_path)) {
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -7,9 +7,9 @@
 #include "edge/edge_settings.hpp"
 #include "edge/fleet_service.hpp"
 #include "edge/job_service.hpp"
-#include "edge/log_follower.hpp"
 #include "edge/member_registry.hpp"
 #include "edge/protocol.hpp"
+#include "edge/state_sync.hpp"
 #include "edge/store.hpp"
 #include "edge/target_list.hpp"
 #include "http/http.hpp"
@@ -67,7 +67,6 @@
     /// Address of another instance that can probably reach the store; unset if none is known.
     std::optional<std::string> choose_relay();
     void log_reachability(const char* reader, const std::optional<store_error>& failure);
-    void fetch_state(const core::instance_id& from, std::uint64_t version);
     instance_status local_status() const;
     bool ready() const;
     void handle_readiness(const http::request& received,
@@ -91,7 +90,7 @@
     std::unique_ptr<edge_context> context_;
     std::unique_ptr<job_service> jobs_;
     std::unique_ptr<caller_gateway> gateway_;
-    std::unique_ptr<log_follower> state_follower_;
+    std::unique_ptr<state_sync> state_sync_;
     std::unique_ptr<target_list> targets_;
     std::unique_ptr<directory_service> directory_;
     std::unique_ptr<member_registry> registry_;
@@ -104,8 +103,6 @@
     kernel::gauge* memory_gauge_ = nullptr;
     /// Interval of this instance's reads of the desired state, with its jitter.
     std::chrono::milliseconds state_poll_interval_{0};
-    std::string encoded_state_;
-    bool fetching_state_ = false;
     std::size_t relay_index_ = 0;
     double largest_capacity_ = 0;
     std::optional<core::time_point> leaving_since_;
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -90,29 +90,31 @@
 
 void job_partition::load(const std::optional<std::string>& after)
 {
-    store_.read_latest(
-        log_partition_, after, [this, alive = alive_, after](store_result<log_page> result) {
-            if (!*alive) {
-                return;
-            }
-            if (!result) {
-                context_.loop.post_after(takeover_retry_interval, [this, alive, after] {
-                    if (*alive) {
-                        load(after);
-                    }
-                });
-                return;
-            }
-            for (keyed_record& record : result->records) {
-                loaded_keys_.add(record.key);
-                assembler_.add(record.key, std::move(record.value));
-            }
-            if (result->next_key) {
-                load(result->next_key);
-                return;
-            }
-            on_loaded();
-        });
+    store_.read_latest(log_partition_, after, load_timeout_.timeout(),
+                       [this, alive = alive_, after](store_result<log_page> result) {
+                           if (!*alive) {
+                               return;
+                           }
+                           if (!result) {
+                               load_timeout_.on_timeout();
+                               context_.loop.post_after(takeover_retry_interval,
+                                                        [this, alive, after] {
+                                                            if (*alive) {
+                                                                load(after);
+                                                            }
+                                                        });
+                               return;
+                           }
+                           for (keyed_record& record : result->records) {
+                               loaded_keys_.add(record.key);
+                               assembler_.add(record.key, std::move(record.value));
+                           }
+                           if (result->next_key) {
+                               load(result->next_key);
+                               return;
+                           }
+                           on_loaded();
+                       });
 }
 
 void job_partition::on_loaded()
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -131,6 +131,8 @@
     fleet_wire::job_record_assembler assembler_;
     /// Keys read from the log, until they are moved to the writer.
     fleet_wire::job_key_index loaded_keys_;
+    /// Time limit of the reads with which this instance takes the partition over.
+    serving::adaptive_timeout load_timeout_;
     std::unique_ptr<job_writer> writer_;
     std::map<serving::item_key, std::shared_ptr<item_run>> runs_;
     /// Generation time of each item over all its runs.
--- a/src/edge/log_follower.cpp
+++ b/src/edge/log_follower.cpp
@@ -9,14 +9,17 @@
 
 using std::chrono::steady_clock;
 
-/// Interval of reads after a failed one.
-constexpr std::chrono::milliseconds retry_interval{150};
+/// Delays of reads after failed ones. The longest one bounds how late an instance learns that the
+/// store is back.
+constexpr serving::backoff_settings read_backoff{std::chrono::milliseconds(150),
+                                                 std::chrono::milliseconds(600)};
 
 } // namespace
 
-log_follower::log_follower(store& durable_store, topic_partition partition,
+log_follower::log_follower(store& durable_store, topic_partition partition, std::uint64_t seed,
                            follower_callbacks callbacks)
-    : store_(durable_store), partition_(std::move(partition)), callbacks_(std::move(callbacks))
+    : store_(durable_store), partition_(std::move(partition)), callbacks_(std::move(callbacks)),
+      backoff_(read_backoff, core::stable_hash(partition_.topic, seed))
 {
 }
 
@@ -28,12 +31,18 @@
 void log_follower::reload()
 {
     next_offset_.reset();
+    snapshot_after_key_.reset();
     read_triggered_ = true;
 }
 
+void log_follower::skip_to(std::uint64_t offset)
+{
+    next_offset_ = std::max(next_offset_.value_or(offset), offset);
+}
+
 void log_follower::tick(core::time_point now, std::chrono::milliseconds interval)
 {
-    const auto wait = reachable_.value_or(true) ? interval : std::min(interval, retry_interval);
+    const auto wait = reachable_.value_or(true) ? interval : retry_delay_;
     if (reading_ || (!read_triggered_ && now - last_attempt_at_ < wait)) {
         return;
     }
@@ -42,18 +51,20 @@
     last_attempt_at_ = now;
     if (next_offset_) {
         read_appended(now);
+        return;
     }
-    else {
+    if (!snapshot_after_key_) {
         snapshot_.clear();
         snapshot_end_ = 0;
-        read_snapshot(std::nullopt, now);
     }
+    // Pages that were read before a failure are kept.
+    read_snapshot(snapshot_after_key_, now);
 }
 
 void log_follower::read_snapshot(const std::optional<std::string>& after_key,
                                  core::time_point sent_at)
 {
-    store_.read_latest(partition_, after_key,
+    store_.read_latest(partition_, after_key, timeout_.timeout(),
                        [this, alive = alive_, after_key, sent_at](store_result<log_page> page) {
                            if (!*alive) {
                                return;
@@ -70,11 +81,12 @@
                            for (keyed_record& record : page->records) {
                                snapshot_[record.key] = std::move(record.value);
                            }
+                           snapshot_after_key_ = page->next_key;
                            if (page->next_key) {
                                read_snapshot(page->next_key, sent_at);
                                return;
                            }
-                           next_offset_ = snapshot_end_;
+                           skip_to(snapshot_end_);
                            on_success(sent_at);
                            callbacks_.on_snapshot(std::exchange(snapshot_, {}));
                        });
@@ -82,13 +94,15 @@
 
 void log_follower::read_appended(core::time_point sent_at)
 {
-    store_.read(partition_, *next_offset_,
-                [this, alive = alive_, sent_at](const store_result<log_page>& page) {
+    store_.read(partition_, *next_offset_, timeout_.timeout(),
+                [this, alive = alive_, sent_at,
+                 offset = *next_offset_](const store_result<log_page>& page) {
                     if (!*alive) {
                         return;
                     }
                     if (!page && page.error().failure == store_failure::expired) {
                         next_offset_.reset();
+                        snapshot_after_key_.reset();
                         reading_ = false;
                         read_triggered_ = true;
                         return;
@@ -102,7 +116,11 @@
                         // `reload` was called during the read.
                         return;
                     }
-                    next_offset_ = *next_offset_ + page->records.size();
+                    const std::uint64_t read_to = offset + page->records.size();
+                    skip_to(read_to);
+                    // A page holds a limited number of bytes.
+                    read_triggered_ =
+                        read_triggered_ || (!page->records.empty() && read_to < page->end_offset);
                     for (const keyed_record& record : page->records) {
                         callbacks_.on_change(record.key, record.value);
                     }
@@ -112,6 +130,10 @@
 void log_follower::on_failure(const store_error& error)
 {
     reading_ = false;
+    retry_delay_ = backoff_.next_delay();
+    if (error.failure == store_failure::unknown) {
+        timeout_.on_timeout();
+    }
     if (reachable_ != std::optional(false)) {
         reachable_ = false;
         callbacks_.on_reachability(error);
@@ -121,6 +143,8 @@
 void log_follower::on_success(core::time_point sent_at)
 {
     reading_ = false;
+    backoff_.reset();
+    timeout_.on_response();
     last_read_sent_at_ = sent_at;
     if (reachable_ != std::optional(true)) {
         reachable_ = true;
--- a/src/edge/log_follower.hpp
+++ b/src/edge/log_follower.hpp
@@ -2,6 +2,7 @@
 
 #include "core/types.hpp"
 #include "edge/store.hpp"
+#include "serving/serving.hpp"
 
 #include <chrono>
 #include <functional>
@@ -29,20 +30,28 @@
 /// loop's thread only.
 class log_follower {
 public:
-    log_follower(store& durable_store, topic_partition partition, follower_callbacks callbacks);
+    /// `seed`: differs between instances, which then retry failed reads at different times.
+    log_follower(store& durable_store, topic_partition partition, std::uint64_t seed,
+                 follower_callbacks callbacks);
     ~log_follower();
     log_follower(const log_follower&) = delete;
     log_follower& operator=(const log_follower&) = delete;
     log_follower(log_follower&&) = delete;
     log_follower& operator=(log_follower&&) = delete;
 
-    /// Starts a read if the interval has elapsed, or sooner after a failed one. To be called
-    /// about every 20 ms.
+    /// Starts a read if the interval has elapsed, or if a failed read is to be retried. To be
+    /// called about every 20 ms.
     void tick(core::time_point now, std::chrono::milliseconds interval);
 
     /// Makes the next tick read a whole snapshot, for a follower that was paused.
     void reload();
 
+    /// Skips the records before an offset, because their content is known from elsewhere.
+    void skip_to(std::uint64_t offset);
+
+    /// Offset of the next record to read; unset until a snapshot has been read.
+    std::optional<std::uint64_t> next_offset() const { return next_offset_; }
+
     /// Makes the next tick read, regardless of the interval.
     void trigger_read() { read_triggered_ = true; }
 
@@ -61,9 +70,15 @@
     std::optional<std::uint64_t> next_offset_;
     std::map<std::string, std::string> snapshot_;
     std::uint64_t snapshot_end_ = 0;
+    /// Key after which a snapshot that was read in part continues.
+    std::optional<std::string> snapshot_after_key_;
     bool reading_ = false;
     bool read_triggered_ = true;
     std::optional<bool> reachable_;
+    serving::retry_backoff backoff_;
+    /// Time until a failed read is retried.
+    std::chrono::milliseconds retry_delay_{0};
+    serving::adaptive_timeout timeout_;
     core::time_point last_attempt_at_{};
     std::optional<core::time_point> last_read_sent_at_;
     /// Set to false by the destructor; pending callbacks check it.
--- a/src/edge/member_registry.cpp
+++ b/src/edge/member_registry.cpp
@@ -31,7 +31,7 @@
     std::function<void(const std::vector<serving::fleet_member>&)> on_members)
     : store_(durable_store), logger_(logger), self_(std::move(self)),
       on_members_(std::move(on_members)),
-      follower_(durable_store, members_partition,
+      follower_(durable_store, members_partition, core::stable_hash(self_.id.value()),
                 {[this](const std::map<std::string, std::string>& snapshot) {
                      members_.clear();
                      for (const auto& [key, value] : snapshot) {
--- a/src/edge/member_registry.hpp
+++ b/src/edge/member_registry.hpp
@@ -37,7 +37,13 @@
     void remove(const serving::fleet_member& member);
 
     /// Whether the entries have been read.
-    bool loaded() const { return follower_.last_read_sent_at().has_value(); }
+    bool loaded() const { return last_read_sent_at().has_value(); }
+
+    /// When the last successful read was sent; unset if none has succeeded.
+    std::optional<core::time_point> last_read_sent_at() const
+    {
+        return follower_.last_read_sent_at();
+    }
 
 private:
     void register_self();
--- a/src/edge/store.hpp
+++ b/src/edge/store.hpp
@@ -111,14 +111,15 @@
                         const std::optional<log_writer>& writer,
                         store_callback<std::uint64_t> done) = 0;
 
-    /// Reads records from an offset on.
+    /// Reads records from an offset on. Fails if no byte arrives for `timeout`.
     virtual void read(const topic_partition& log_partition, std::uint64_t offset,
-                      store_callback<log_page> done) = 0;
+                      std::chrono::milliseconds timeout, store_callback<log_page> done) = 0;
 
-    /// Reads a page with the newest record of each key, starting after the given key.
+    /// Reads a page with the newest record of each key, starting after the given key. Fails if no
+    /// byte arrives for `timeout`.
     virtual void read_latest(const topic_partition& log_partition,
                              const std::optional<std::string>& after_key,
-                             store_callback<log_page> done) = 0;
+                             std::chrono::milliseconds timeout, store_callback<log_page> done) = 0;
 
     /// Joins a group or renews the membership, which lasts for `lifetime`. `generation` is the last
     /// one seen, 0 at first.
--- a/src/edge/target_list.cpp
+++ b/src/edge/target_list.cpp
@@ -12,6 +12,7 @@
                          reachability_callback on_reachability)
     : logger_(logger), translator_(translator), fleet_(fleet), interval_(interval),
       follower_(durable_store, translator.target_partition(),
+                core::stable_hash(fleet.self_id().value()),
                 follower_callbacks{[this](const std::map<std::string, std::string>& snapshot) {
                                        apply_snapshot(snapshot);
                                    },
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -119,12 +119,12 @@
 bool leadership::should_lead(bool store_readable, core::time_point now) const
 {
     const auto elapsed = now - *election_start_;
+    if (!peers_known_ && (!store_readable || elapsed < settings_.member_list_timeout)) {
+        return false;
+    }
     if (elapsed >= settings_.election_timeout) {
         return true;
     }
-    if (!peers_known_ && elapsed < settings_.member_list_timeout) {
-        return false;
-    }
     const bool leader_hinted = last_hint_at_ && now - *last_hint_at_ < heartbeat_timeout();
     if (leader_hinted || has_better_candidate(store_readable, now)) {
         return false;
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -64,7 +64,9 @@
     /// An election ends after this time even if peers report a leader: a leader that this instance
     /// gets no heartbeats from is of no use to it.
     std::chrono::milliseconds election_timeout{2000};
-    /// Time to wait for the list of instances before this instance leads without it.
+    /// Time to wait for the list of instances before an instance that can read the store leads
+    /// without it. An instance that can do neither has nothing to lead with: it would only place
+    /// its own requests, at targets that it does not know.
     std::chrono::milliseconds member_list_timeout{700};
     /// A leader whose process stalled for longer than this has probably been replaced.
     std::chrono::milliseconds stall_max{300};
