edge, serving: large instances own jobs also when the list is not read yet; docs

An instance that hears of the leader before it has read the list knew only a part of the fleet. Also: an instance of an earlier version, which does not name itself, could have been named to others as a holder of the state, by the port of its connection; and the position of an instance in the spread of reads changed with the count of members. Change: may_own_jobs compares with the leader as well, and waits without a leader and a list; unnamed askers get the state as before; positions depend on the instance alone.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -51,6 +51,9 @@
 constexpr milliseconds relay_read_age_max{1200};
 constexpr const char* metrics_path = "/metrics";
 
+/// Interval at which an instance that owns no jobs checks whether it may.
+constexpr milliseconds job_owner_check_interval{100};
+
 /// Time after the start at which followers begin to read the list of instances, when the reads that
 /// serving depends on are over.
 constexpr milliseconds follower_list_delay{1000};
@@ -181,9 +184,6 @@
                        }});
     registry_ = std::make_unique<member_registry>(
         *store_, *logger_, self, [this](const std::vector<serving::fleet_member>& members) {
-            for (const serving::fleet_member& member : members) {
-                largest_capacity_ = std::max(largest_capacity_, member.capacity);
-            }
             fleet_->set_members(members);
         });
     apply_dynamic_settings(settings_.dynamic);
@@ -303,7 +303,7 @@
     poll_store(now);
     fleet_->tick(now);
     admission_->tick(now);
-    join_job_owners();
+    join_job_owners(now);
     gateway_->tick(now);
     jobs_->tick(now);
     advance_leaving(now);
@@ -314,17 +314,21 @@
     });
 }
 
-void edge_node::join_job_owners()
+void edge_node::join_job_owners(core::time_point now)
 {
-    if (leaving_since_ || jobs_->joining()) {
+    if (leaving_since_ || jobs_->joining() || now < job_owner_check_at_) {
         return;
     }
+    job_owner_check_at_ = now + job_owner_check_interval;
+    serving::known_capacities known;
+    known.listed = registry_->largest_capacity();
+    if (const auto leader = fleet_->known_leader()) {
+        known.leader = leader->capacity;
+    }
     for (const serving::fleet_member& member : fleet_->ready_members()) {
-        largest_capacity_ = std::max(largest_capacity_, member.capacity);
+        known.ready = std::max(known.ready, member.capacity);
     }
-    const bool members_known = registry_->loaded() || largest_capacity_ > 0;
-    if (members_known &&
-        settings_.self.capacity >= settings_.job_owner_capacity_min * largest_capacity_) {
+    if (serving::may_own_jobs(settings_.self.capacity, known, settings_.job_owner_capacity_min)) {
         jobs_->start_joining();
     }
 }
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -63,7 +63,7 @@
     void tick();
     void poll_store(core::time_point now);
     /// Starts to take part in owning jobs, if this instance is large enough compared to the others.
-    void join_job_owners();
+    void join_job_owners(core::time_point now);
     void apply_state(const std::string& value, const char* source);
     void apply_limits(const serving::caller_limits& limits);
     /// Address of another instance that can probably reach the store; unset if none is known.
@@ -106,7 +106,7 @@
     /// Interval of this instance's reads of the desired state, with its jitter.
     std::chrono::milliseconds state_poll_interval_{0};
     std::size_t relay_index_ = 0;
-    double largest_capacity_ = 0;
+    core::time_point job_owner_check_at_{};
     core::time_point started_at_ = std::chrono::steady_clock::now();
     std::optional<core::time_point> leaving_since_;
     bool jobs_handed_over_ = false;
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -105,6 +105,11 @@
     return leadership_.leads() || leadership_.leader(steady_clock::now()).has_value();
 }
 
+std::optional<serving::fleet_member> fleet_service::known_leader() const
+{
+    return leadership_.recent_leader(steady_clock::now());
+}
+
 bool fleet_service::expects_leader() const
 {
     const auto search_time = leadership_.leaderless_for(steady_clock::now());
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -121,6 +121,9 @@
     bool leads() const { return leadership_.leads(); }
     bool has_leader() const;
 
+    /// The leader (possibly this instance), if its last heartbeat is recent.
+    std::optional<serving::fleet_member> known_leader() const;
+
     /// Whether the search for a leader has lasted less than `leader_wait`, so that one is likely
     /// to be found soon.
     bool expects_leader() const;
--- a/src/edge/member_registry.cpp
+++ b/src/edge/member_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet_wire/fleet_wire.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace gooseberryfall::edge {
@@ -73,6 +74,18 @@
     members_[key] = report->self;
 }
 
+std::optional<double> member_registry::largest_capacity() const
+{
+    if (!loaded()) {
+        return std::nullopt;
+    }
+    double largest = 0;
+    for (const auto& [key, member] : members_) {
+        largest = std::max(largest, member.capacity);
+    }
+    return largest;
+}
+
 void member_registry::notify()
 {
     std::vector<serving::fleet_member> members;
--- a/src/edge/state_backup.cpp
+++ b/src/edge/state_backup.cpp
@@ -17,9 +17,6 @@
 /// Largest copy that is written: the size of a record in the store, less its key.
 constexpr std::size_t copy_bytes_max = 250U << 10U;
 
-/// Largest state that is read from a copy, decompressed.
-constexpr std::size_t state_bytes_max = 64U << 20U;
-
 constexpr milliseconds save_retry_interval{500};
 
 } // namespace
--- a/src/edge/state_backup.hpp
+++ b/src/edge/state_backup.hpp
@@ -13,6 +13,9 @@
 
 namespace gooseberryfall::edge {
 
+/// Largest desired state that is taken from another instance or from a copy, decompressed.
+constexpr std::size_t state_bytes_max = 16U << 20U;
+
 /// Copies of the desired state in topics of this system. The store can be down in part: without a
 /// copy, a fleet that starts while the operator's topic is down would reject all requests until it
 /// is back, although it could serve by the last state. To be used on the event loop's thread only.
--- a/src/edge/state_sync.cpp
+++ b/src/edge/state_sync.cpp
@@ -16,9 +16,6 @@
 /// Time after the start for which the list of instances is awaited before the first read.
 constexpr milliseconds members_wait{700};
 
-/// Largest state that is accepted from another instance, decompressed.
-constexpr std::size_t state_bytes_max = 64U << 20U;
-
 constexpr const char* offset_header = "State-Offset";
 constexpr const char* retry_header = "Retry-After-Ms";
 constexpr const char* location_scheme = "http://";
@@ -225,9 +222,12 @@
         return;
     }
     auto parts = http::parse_target(received.target);
-    // An instance of an earlier version does not name itself.
-    const core::instance_id asker(parts && parts->query.contains("from") ? parts->query["from"]
-                                                                         : received.client);
+    if (!parts || !parts->query.contains("from")) {
+        // An instance of an earlier version does not name itself, and knows no redirects.
+        caller->send({200, {}, encoded_});
+        return;
+    }
+    const core::instance_id asker(parts->query["from"]);
     const bool compressed = received.headers.get("Accept-Encoding") == http::compression_name;
     std::visit(
         core::visitors{
--- a/src/serving/serving.hpp
+++ b/src/serving/serving.hpp
@@ -8,6 +8,7 @@
 #include "serving/fleet_view.hpp"
 #include "serving/idle_connections.hpp"
 #include "serving/job_ledger.hpp"
+#include "serving/job_owners.hpp"
 #include "serving/leadership.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/recent_prefixes.hpp"
--- a/src/serving/state_distribution.cpp
+++ b/src/serving/state_distribution.cpp
@@ -141,8 +141,7 @@
     }
     const auto spread =
         settings.interval * static_cast<std::int64_t>(members - settings.members_free);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(spread *
-                                                                 position_of(self, members));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(spread * position_of(self, 0));
 }
 
 std::chrono::milliseconds members_read_delay(const core::instance_id& self, double capacity,
--- a/tests/edge/scripted_store.hpp
+++ b/tests/edge/scripted_store.hpp
@@ -41,14 +41,17 @@
     {
         reads.push_back({partition.topic, std::nullopt, after_key, timeout, std::move(done)});
     }
-    void join(const std::string&, const std::string&, const std::vector<std::string>&,
-              std::chrono::milliseconds, std::uint64_t,
-              gooseberryfall::edge::store_callback<gooseberryfall::edge::group_assignment>) override
+    void
+    join(const std::string&, const std::string&, const std::vector<std::string>&,
+         std::chrono::milliseconds, std::uint64_t,
+         gooseberryfall::edge::store_callback<gooseberryfall::edge::group_assignment> done) override
     {
+        joins.push_back(std::move(done));
     }
     void leave(const std::string&, const std::string&,
-               gooseberryfall::edge::store_callback<bool>) override
+               gooseberryfall::edge::store_callback<bool> done) override
     {
+        done(true);
     }
     void use_relay(gooseberryfall::edge::store_relay) override {}
     void handle_relayed(gooseberryfall::http::request,
@@ -73,4 +76,6 @@
 
     std::deque<pending_read> reads;
     std::deque<pending_append> appends;
+    /// Joins that wait for their answer.
+    std::deque<gooseberryfall::edge::store_callback<gooseberryfall::edge::group_assignment>> joins;
 };
--- a/tests/serving/state_distribution_test.cpp
+++ b/tests/serving/state_distribution_test.cpp
@@ -382,6 +382,20 @@
     cr_assert_gt(longest.count(), 2000);
 }
 
+// Guards against reads of a list with an entry for each instance by every instance, before a leader
+// is found; and against a fleet without large instances that finds none.
+Test(state_distribution, small_instances_leave_the_list_to_larger_ones)
+{
+    std::size_t early = 0;
+    for (std::size_t number = 0; number < fleet_size; ++number) {
+        cr_assert_eq(serving::members_read_delay(id_of(number), 0.5).count(), 0);
+        const milliseconds small = serving::members_read_delay(id_of(number), 0.12);
+        cr_assert(small >= milliseconds(150) && small <= milliseconds(450));
+        early += small < milliseconds(165) ? 1 : 0;
+    }
+    cr_assert(early > 0 && early < fleet_size / 10);
+}
+
 // Guards against instances that fail together and retry together, and against pauses that never
 // become shorter again.
 Test(retry_backoff, delays_grow_apart_and_start_over)
