--- a/tests/serving/team_limits_test.cpp
+++ b/tests/serving/team_limits_test.cpp
@@ -71,6 +71,27 @@
     cr_assert_leq(flood_count, 40, "the team has already spent its burst");
 }
 
+// Replays a leader that leaves 2 s after a team began to flood it: all that the window allows has
+// been sent in that time. Guards against a new leader that admits the team's rate on top of it, as
+// if the requests had been spread over the window.
+Test(team_limits, new_leader_keeps_to_the_window_after_a_burst)
+{
+    const serving::limit_tolerance tolerance{seconds(5), 0.1, 20};
+    const seconds flooded(2);
+    const int allowed = 40 + 40 * 5;
+    const double window_max = allowed * 1.1 + 20;
+    serving::team_limits limits;
+    limits.set({{team, {40, 40}}}, start);
+    limits.begin_term(tolerance, start);
+    serving::team_spending spending;
+    spending.requests = {{team, allowed}};
+    spending.scope = serving::spending_scope::window;
+    limits.apply_spending(spending, tolerance, start);
+    const int admitted = count_admitted(limits, start, seconds(5) - flooded, 1000);
+    cr_assert_leq(allowed + admitted, window_max, "%d requests in a window that allows %.0f",
+                  allowed + admitted, window_max);
+}
+
 // Guards against a whole burst in addition to one that is missing from the reported spending.
 Test(team_limits, partial_spending_fills_no_bucket)
 {
