--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -26,10 +26,10 @@
 
 /// Interval of heartbeats to instances that have not reported to a new leader: after all processes
 /// have ended, many start just after its first heartbeat.
-constexpr milliseconds greeting_interval{60};
+constexpr milliseconds term_announcement_interval{60};
 
 /// Time from the begin of a term in which instances that have not reported get more heartbeats.
-constexpr milliseconds greeting_time{3000};
+constexpr milliseconds term_announcement_time{3000};
 
 /// View blocks in one datagram: about 8 kB, which network links take without queueing.
 constexpr std::size_t update_blocks_max = 4;
@@ -449,7 +449,7 @@
     if (due || std::exchange(heartbeat_triggered_, false)) {
         send_heartbeat(false, now);
     }
-    greet_unreported_peers(now);
+    announce_to_unreported_peers(now);
     send_updates(now);
     const serving::scheduler_stats slot_stats = placement_.request_scheduler().stats();
     waiting_gauge_.set(static_cast<double>(slot_stats.online_waiting + slot_stats.batch_waiting));
@@ -506,12 +506,12 @@
     }
 }
 
-void fleet_service::greet_unreported_peers(core::time_point now)
+void fleet_service::announce_to_unreported_peers(core::time_point now)
 {
-    if (now - leading_since_ > greeting_time || now - greeted_at_ < greeting_interval) {
+    if (now - leading_since_ > term_announcement_time || now - term_announced_at_ < term_announcement_interval) {
         return;
     }
-    greeted_at_ = now;
+    term_announced_at_ = now;
     const serving::leader_heartbeat heartbeat = make_heartbeat(now);
     for (const core::instance_id& id : roster_.unreported_peers()) {
         socket_.send(id, heartbeat);
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -176,7 +176,7 @@
     serving::leader_heartbeat make_heartbeat(core::time_point now) const;
     void send_heartbeat(bool resigning, core::time_point now);
     /// Sends heartbeats to instances that have not reported yet, often while the term is new.
-    void greet_unreported_peers(core::time_point now);
+    void announce_to_unreported_peers(core::time_point now);
     void send_updates(core::time_point now);
     void send_update(const core::instance_id& to, core::time_point now);
     double limit_share() const;
@@ -217,7 +217,7 @@
     std::size_t announced_members_ = 0;
     /// When this instance last became the leader.
     core::time_point leading_since_{};
-    core::time_point greeted_at_{};
+    core::time_point term_announced_at_{};
     /// A new desired state is announced by a heartbeat ahead of its time.
     bool heartbeat_triggered_ = false;
     /// When the last heartbeat (as leader) or report (as follower) was sent.
