--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -508,7 +508,8 @@
 
 void fleet_service::announce_to_unreported_peers(core::time_point now)
 {
-    if (now - leading_since_ > term_announcement_time || now - term_announced_at_ < term_announcement_interval) {
+    if (now - leading_since_ > term_announcement_time ||
+        now - term_announced_at_ < term_announcement_interval) {
         return;
     }
     term_announced_at_ = now;
