--- a/review/driver.cpp
+++ b/review/driver.cpp
@@ -186,7 +186,7 @@
     }
 }
 
-int play_endless_body(installation& site)
+int play_endless(installation& site, bool interim)
 {
     const auto plan = [](const received_request&) {
         return run_plan{milliseconds(300), milliseconds(30), 20, false};
@@ -198,6 +198,7 @@
     site.start_machines(3);
     const auto set_endless = [&](bool endless) {
         for (const auto& each : site.engines) {
+            each->send_interim_responses(interim);
             each->send_endless_bodies(endless && each->id().starts_with("faulty"));
         }
     };
@@ -240,7 +241,8 @@
     std::thread watcher([&] { enforce_memory_limit(site, over, ends, peaks); });
     std::this_thread::sleep_for(seconds(5));
     if (with_trouble()) {
-        site.notes.line("half of the engines: from now on their bodies have no end");
+        site.notes.line(std::string("half of the engines: from now on their ") +
+                        (interim ? "interim responses" : "bodies") + " have no end");
         set_endless(true);
     }
     std::this_thread::sleep_for(seconds(25));
@@ -278,7 +280,7 @@
         endless_bytes += each->endless_bytes();
     }
     site.notes.line("summary: the faulty engines sent " + std::to_string(endless_bytes >> 20U) +
-                    " MB of bodies without end");
+                    " MB without end");
     site.notes.line("summary: " + std::to_string(results.size()) + " requests, " +
                     std::to_string(complete) +
                     " served; kept channels closed without an answer "
@@ -287,6 +289,16 @@
     return cut > 3 ? 1 : 0;
 }
 
+int play_endless_body(installation& site)
+{
+    return play_endless(site, false);
+}
+
+int play_endless_head(installation& site)
+{
+    return play_endless(site, true);
+}
+
 // --- Items of a service without engines ------------------------------------------------------
 
 int play_blocked_items(installation& site)
@@ -668,10 +680,10 @@
 int play(const std::string& name, const std::string& folder, record& notes)
 {
     const std::map<std::string, int (*)(installation&)> cases{
-        {"endless_body", play_endless_body},     {"blocked_items", play_blocked_items},
-        {"large_job", play_large_job},           {"late_request", play_late_request},
-        {"ended_route", play_ended_route},       {"failing_item", play_failing_item},
-        {"expiring_items", play_expiring_items},
+        {"endless_body", play_endless_body},   {"endless_head", play_endless_head},
+        {"blocked_items", play_blocked_items}, {"large_job", play_large_job},
+        {"late_request", play_late_request},   {"ended_route", play_ended_route},
+        {"failing_item", play_failing_item},   {"expiring_items", play_expiring_items},
     };
     const auto found = cases.find(name);
     if (found == cases.end()) {
--- a/review/engine.hpp
+++ b/review/engine.hpp
@@ -67,6 +67,9 @@
     /// From now on the body of each answer is made of bytes without end, until the caller closes.
     void send_endless_bodies(bool endless) { endless_ = endless; }
 
+    /// The bytes without end are interim responses (status 100) before a head, not a body.
+    void send_interim_responses(bool interim) { interim_ = interim; }
+
     /// Ends for good: the listener and all connections are closed.
     void stop() { server_.stop(); }
 
@@ -124,10 +127,16 @@
 
     bool send_endless(int socket, const std::string& id_header)
     {
-        if (!send_all(socket, "HTTP/1.1 500 Internal Server Error\r\n" + id_header + "\r\n")) {
+        std::string block(block_bytes, '#');
+        if (interim_) {
+            block.clear();
+            while (block.size() < block_bytes) {
+                block += "HTTP/1.1 100 Continue\r\n\r\n";
+            }
+        }
+        else if (!send_all(socket, "HTTP/1.1 500 Internal Server Error\r\n" + id_header + "\r\n")) {
             return false;
         }
-        const std::string block(block_bytes, '#');
         while (!server_.stopping() && !peer_has_closed(socket)) {
             steady_clock::time_point turn;
             {
@@ -208,6 +217,7 @@
 
     engine_settings settings_;
     std::atomic<bool> endless_{false};
+    std::atomic<bool> interim_{false};
     std::atomic<std::uint64_t> endless_bytes_{0};
     mutable std::mutex mutex_;
     std::vector<engine_run> runs_;
