--- a/review/driver.cpp
+++ b/review/driver.cpp
@@ -189,7 +189,7 @@
 int play_endless(installation& site, bool interim)
 {
     const auto plan = [](const received_request&) {
-        return run_plan{milliseconds(300), milliseconds(30), 20, false};
+        return run_plan{milliseconds(600), milliseconds(30), 20, false};
     };
     for (const char* id : {"sound-1", "sound-2", "sound-3", "faulty-1", "faulty-2", "faulty-3"}) {
         site.add_engine(id, "lm", plan);
@@ -206,7 +206,7 @@
     std::mutex mutex;
     std::vector<online_result> results;
     std::vector<std::thread> clients;
-    for (std::size_t number = 0; number < 18; ++number) {
+    for (std::size_t number = 0; number < 27; ++number) {
         clients.emplace_back([&, number] {
             const machine& at = *site.machines[number % site.machines.size()];
             channel kept;
