edge: a submission that an owner may have accepted is never rejected as not run

Cause: the owner queued the job's record, the connection between the instances was lost, and the HTTP client sent the submission again on a new connection. That answer, 503 because the owner couldn't reach the store by then, was passed on, although it speaks only for the second attempt. The owner checked the store before its own ledger, so that each further submission of the queued job was answered 503 as well. An owner that answered 421 on a second connection counted as certain, too. The repeated attempt is in http::call_result::repeated, which job_service didn't look at. Ruled out: a record written by a replaced owner (fenced by its epoch before the next one loads). Change: call_verdict says what a forwarded submission's result means, with the attempts before it. A promise after a lost attempt becomes "uncertain" (504).

--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -71,6 +71,9 @@
     /// Whether the log has been taken over and loaded.
     bool is_loaded() const { return writer_ != nullptr; }
 
+    /// Whether the job is accepted or its record is being written.
+    bool holds(const std::string& job) const { return ledger_.holds(job); }
+
     /// Whether this partition accepts calls.
     bool serves() const { return is_loaded() && !lost_ && !releasing_; }
 
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -1,5 +1,7 @@
 #include "edge/job_service.hpp"
 
+#include "edge/call_verdict.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,9 +27,6 @@
 /// last some seconds, and callers make few attempts.
 constexpr milliseconds store_unavailable_retry_after{1500};
 
-/// Response status to a forwarded call whose partition this instance doesn't own.
-constexpr unsigned status_misdirected = 421;
-
 /// An owner that takes longer to accept a connection is treated as unreachable.
 constexpr milliseconds owner_connect_timeout{200};
 
@@ -210,9 +209,23 @@
     caller->send(context_.translator.encode(response, retry_after));
 }
 
+void job_service::answer_uncertain(const routed_call& call, const std::string& reason)
+{
+    context_.logger.write(
+        kernel::log_level::info, "job_call_uncertain",
+        {{"id", call.request.id},
+         {"reason", reason},
+         {"owner", call.unreachable ? call.unreachable->instance.value() : std::string()}});
+    respond(call.caller, job_outcome::uncertain, no_owner_retry_after);
+}
+
 void job_service::reject(const routed_call& call, const std::string& reason,
                          milliseconds retry_after)
 {
+    if (call.may_have_run) {
+        answer_uncertain(call, reason);
+        return;
+    }
     context_.logger.write(
         kernel::log_level::info, "job_call_refused",
         {{"id", call.request.id},
@@ -292,8 +305,11 @@
 {
     const auto own = partitions_.find(call->partition);
     if (own != partitions_.end() && own->second->serves()) {
-        const bool is_submission = !call->route.empty();
-        if (is_submission && store_unreachable(steady_clock::now())) {
+        const auto* submission = std::get_if<submit_job>(&call->call);
+        // A job that the ledger holds may be in the log already or be written later, so that it
+        // isn't rejected as not run.
+        const bool needs_store = submission != nullptr && !own->second->holds(submission->job.id);
+        if (needs_store && store_unreachable(steady_clock::now())) {
             reject(*call, "the store is unreachable", store_unavailable_retry_after);
             return true;
         }
@@ -372,19 +388,23 @@
 {
     const bool completed = result.outcome == http::call_outcome::completed;
     const bool misdirected = completed && result.head.status == status_misdirected;
-    if (completed && !misdirected) {
+    const bool is_submission = std::holds_alternative<submit_job>(call->call);
+    const call_verdict verdict =
+        is_submission
+            ? evaluate_submission(result, call->may_have_run)
+            : (completed && !misdirected ? call_verdict::answered : call_verdict::not_run);
+    if (verdict == call_verdict::answered) {
         call->caller->send({result.head.status, result.head.headers, result.body});
         return;
     }
     call->unreachable = owner;
-    const bool is_submission = !call->route.empty();
-    if (result.sent && is_submission && !misdirected) {
-        // The owner may have received and accepted the submission.
-        context_.logger.write(kernel::log_level::info, "job_call_uncertain",
-                              {{"id", call->request.id},
-                               {"reason", result.reason},
-                               {"owner", owner.instance.value()}});
-        respond(call->caller, job_outcome::uncertain, no_owner_retry_after);
+    call->may_have_run = verdict == call_verdict::may_have_run;
+    // An owner that has given the partition up leaves the question to the next one, whose ledger
+    // holds the job if it was accepted.
+    if (call->may_have_run && !misdirected) {
+        answer_uncertain(*call, completed ? "status " + std::to_string(result.head.status) +
+                                                " after a lost connection"
+                                          : result.reason);
         return;
     }
     if (result.outcome == http::call_outcome::not_sent) {
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -106,6 +106,9 @@
         std::optional<serving::partition_owner> unreachable;
         /// Forwarded by another instance; it isn't forwarded again.
         bool forwarded = false;
+        /// A submission that an owner may have accepted although no response says so. It isn't
+        /// rejected as not run any more.
+        bool may_have_run = false;
     };
 
     std::uint32_t partition_of(const core::team_id& team) const;
@@ -129,8 +132,10 @@
     void on_forwarded(const serving::partition_owner& owner,
                       const std::shared_ptr<routed_call>& call, const http::call_result& result);
     bool store_unreachable(core::time_point now) const;
+    /// Answers that the call can't be served and had no effect, unless it may have run.
     void reject(const routed_call& call, const std::string& reason,
                 std::chrono::milliseconds retry_after);
+    void answer_uncertain(const routed_call& call, const std::string& reason);
     void respond(const std::shared_ptr<http::responder>& caller, const job_response& response,
                  std::chrono::milliseconds retry_after);
 
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -1,5 +1,6 @@
 #include "edge/online_exchange.hpp"
 
+#include "edge/call_verdict.hpp"
 #include "edge/target_call.hpp"
 
 #include <algorithm>
@@ -29,14 +30,17 @@
     return status >= 200 && status < 300;
 }
 
-/// Whether the status usually means that the request hasn't run.
-bool implies_not_run(unsigned status)
+} // namespace
+
+milliseconds response_time_limit(const serving::route& route, const caller_request& request)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    const bool unlimited_route = route.timeout.count() == 0;
+    if (request.time_limit && (unlimited_route || *request.time_limit < route.timeout)) {
+        return *request.time_limit;
+    }
+    return route.timeout;
 }
 
-} // namespace
-
 online_exchange::online_exchange(edge_context& context, admitted_request request,
                                  std::shared_ptr<http::responder> caller,
                                  std::function<void(const exchange_result&)> on_end)
@@ -44,11 +48,7 @@
       on_end_(std::move(on_end)), started_at_(admitted_.received_at)
 {
     const caller_request& incoming = admitted_.request;
-    milliseconds limit = admitted_.route->timeout;
-    if (incoming.time_limit && (limit.count() == 0 || *incoming.time_limit < limit)) {
-        limit = *incoming.time_limit;
-    }
-    deadline_ = started_at_ + limit;
+    deadline_ = started_at_ + response_time_limit(*admitted_.route, incoming);
     last_event_ = incoming.last_event;
     fingerprint_ = core::stable_hash(incoming.received.body, core::stable_hash(incoming.path)) ^
                    core::stable_hash(admitted_.team.value());
@@ -349,7 +349,7 @@
                           repeated);
         return;
     }
-    if (implies_not_run(head_.status)) {
+    if (promises_not_run(head_.status)) {
         // The response lacks the target's statement that the request hasn't run, so it may have
         // run.
         on_attempt_failed(serving::slot_outcome::failed, "status " + std::to_string(head_.status),
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -25,6 +25,11 @@
     bool is_retry = false;
 };
 
+/// Time within which a request on the route gets its response: the shorter one of the limits of its
+/// caller and its route. Thread-safe.
+std::chrono::milliseconds response_time_limit(const serving::route& route,
+                                              const caller_request& request);
+
 /// Result of an exchange, for metrics.
 struct exchange_result {
     /// Set if the request was rejected; unset if it ended with a target's response or because the
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -149,6 +149,9 @@
     /// Whether the job is accepted and its record written.
     bool has(const std::string& job) const;
 
+    /// Whether the job is accepted, or its record is being written.
+    bool holds(const std::string& job) const { return jobs_.contains(job); }
+
     /// Team of an accepted job; the empty team if there is none.
     core::team_id team_of(const std::string& job) const;
 
