http: one limit in size and time for all interim responses of a call

Cause: client_call::read_head called itself for each interim response; each one began the time limit and the header limit anew and kept another coroutine frame. Bytes of a head that arrive one by one began the limit between bytes anew each time. Change: a loop with one size limit (header_limit) and one time limit (first_byte) for the head and all interim responses before it.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <utility>
@@ -220,8 +221,25 @@
 
 awaitable<bool> client_call::read_head()
 {
+    // One time limit and one size limit for the head and all interim responses before it, which
+    // could otherwise go on without end.
     const auto limit = write_failed_ ? early_response_timeout : request_.timeouts.first_byte;
     begin_phase(call_phase::first_byte, limit);
+    head_expires_at_ = std::chrono::steady_clock::now() + limit;
+    std::size_t bytes_left = core_->settings.header_limit;
+    bool is_interim = true;
+    while (is_interim) {
+        const bool complete = co_await read_one_head(bytes_left);
+        if (!complete) {
+            co_return false;
+        }
+        is_interim = parser_->get().result_int() < 200;
+    }
+    co_return check_head();
+}
+
+awaitable<bool> client_call::read_one_head(std::size_t& bytes_left)
+{
     parser_.emplace();
     parser_->eager(false);
     parser_->header_limit(static_cast<std::uint32_t>(core_->settings.header_limit));
@@ -238,14 +256,17 @@
             fail(call_outcome::invalid_response, "malformed response: " + error.message());
             co_return false;
         }
+        if (consumed > bytes_left) {
+            fail(call_outcome::invalid_response,
+                 "the interim responses exceed the limit of a response head");
+            co_return false;
+        }
+        bytes_left -= consumed;
         if (error && !co_await read_more()) {
             co_return false;
         }
     }
-    if (parser_->get().result_int() < 200) {
-        co_return co_await read_head();
-    }
-    co_return check_head();
+    co_return true;
 }
 
 bool client_call::check_head()
@@ -336,7 +357,7 @@
         co_return false;
     }
     if (response_started_) {
-        begin_phase(call_phase::between_bytes, request_.timeouts.between_bytes);
+        begin_phase(call_phase::between_bytes, time_to_next_byte());
     }
     const io_result result = co_await connection_->read_some(buffer_.prepare(read_size));
     const bool may_end = response_started_ && parser_->is_header_done() && parser_->need_eof();
@@ -355,6 +376,17 @@
     co_return !failed_;
 }
 
+std::chrono::milliseconds client_call::time_to_next_byte() const
+{
+    const std::chrono::milliseconds limit = request_.timeouts.between_bytes;
+    if (parser_->is_header_done()) {
+        return limit;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        head_expires_at_ - std::chrono::steady_clock::now());
+    return std::clamp(left, std::chrono::milliseconds(0), limit);
+}
+
 bool client_call::has_ended()
 {
     if (handle_->cancelled()) {
--- a/src/http/client_core.hpp
+++ b/src/http/client_core.hpp
@@ -107,7 +107,11 @@
     awaitable<bool> obtain_connection(bool fresh);
     awaitable<bool> connect();
     awaitable<bool> write_request();
+    /// Reads the head of the response and skips interim responses.
     awaitable<bool> read_head();
+    /// Reads the next head, which may be that of an interim response. Takes its size from
+    /// `bytes_left` and fails if it is larger.
+    awaitable<bool> read_one_head(std::size_t& bytes_left);
     awaitable<bool> read_body();
     awaitable<bool> read_more();
     awaitable<bool> deliver(std::string piece);
@@ -120,6 +124,9 @@
     void fail(call_outcome outcome, const std::string& reason);
     void fail_io(const error_code& error, const std::string& what);
     void begin_phase(call_phase phase, std::chrono::milliseconds limit);
+    /// Time limit of the next read after the first byte. That of the head ends at
+    /// `head_expires_at_` in any case.
+    std::chrono::milliseconds time_to_next_byte() const;
     void on_timeout();
     void finish();
 
@@ -134,6 +141,7 @@
     boost::beast::flat_buffer buffer_;
     async_signal resume_signal_;
     deadline deadline_;
+    std::chrono::steady_clock::time_point head_expires_at_;
     bool reused_ = false;
     bool expired_ = false;
     bool resume_pending_ = false;
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -395,3 +395,45 @@
         http::call(listener.address(), "GET", "/", {}, {}, std::chrono::milliseconds(100));
     cr_assert(result.outcome == call_outcome::timed_out);
 }
+
+// Guards against interim responses without end, each of which would begin the time limit of the
+// response anew and take memory.
+Test(client, interim_responses_are_limited_in_size_and_time, .timeout = 30)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const raw_listener listener;
+    fixture test;
+    const auto flood = [&](raw_connection& c) {
+        c.receive_until("\r\n\r\n");
+        while (c.send(interim)) {
+        }
+    };
+    const auto drip = [&](raw_connection& c) {
+        c.receive_until("\r\n\r\n");
+        while (c.send(interim)) {
+            std::this_thread::sleep_for(50ms);
+        }
+    };
+    const auto thread = serve(listener, {flood, drip});
+    http::client_request request = request_to(listener);
+    request.timeouts.first_byte = 300ms;
+    cr_assert(test.run(request).outcome == call_outcome::invalid_response);
+    cr_assert(test.run(request).outcome == call_outcome::timed_out);
+}
+
+// Guards against a head whose bytes arrive one by one without end within the time limit of each.
+Test(client, slow_head_exceeds_the_time_to_the_first_byte, .timeout = 30)
+{
+    const raw_listener listener;
+    fixture test;
+    const auto thread = serve(listener, {[](raw_connection& c) {
+                                  c.receive_until("\r\n\r\n");
+                                  c.send("HTTP/1.1 200 OK\r\nNote: ");
+                                  while (c.send("a")) {
+                                      std::this_thread::sleep_for(50ms);
+                                  }
+                              }});
+    http::client_request request = request_to(listener);
+    request.timeouts.first_byte = 300ms;
+    cr_assert(test.run(request).outcome == call_outcome::timed_out);
+}
