edge, serving: bound what a target's response can take of an instance

Cause: online_exchange collected the body of every response that isn't an event stream without a limit; the client's body_limit only holds for bodies that the client collects itself. event_splitter kept an event without an empty line without a limit and searched it anew at each piece. An item took a plain body up to 8 MB, then dropped the rest and called it complete; an endless body of a failed or foreign answer held an item until its time limit. Ruled out: the buffer towards callers (bounded, the target is paused), the client's own buffer (bounded). Change: a plain response is buffered up to 64 KB; a success above that is streamed to the caller with flow control, anything else ends the attempt. An event above 256 KB, a response to an item above its limit, and a head that is unsigned or foreign end the attempt at once; the target is charged with a broken answer and the work goes on elsewhere if it may. The head of a resumable stream is sent with its first whole event, so that a target that sends none doesn't decide the answer. No partial body counts as complete.

--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -18,6 +18,12 @@
 /// Maximum output of an item; the store can't hold more.
 constexpr std::size_t output_bytes_max = 8U << 20U;
 
+/// Maximum size of a response to an item, which contains the output and the framing of its events.
+constexpr std::size_t response_bytes_max = 4 * output_bytes_max;
+
+/// Maximum size of a response whose body isn't used.
+constexpr std::size_t unused_body_bytes_max = 64U << 10U;
+
 milliseconds duration_between(steady_clock::time_point begin, steady_clock::time_point end)
 {
     return std::chrono::duration_cast<milliseconds>(end - begin);
@@ -135,22 +141,47 @@
     return http::flow::proceed;
 }
 
+bool item_run::has_usable_body() const
+{
+    return response_flags_.matches_request && response_flags_.signed_by_target &&
+           head_.status == 200;
+}
+
 http::flow item_run::on_piece(const std::string& piece)
 {
+    if (done_) {
+        return http::flow::proceed;
+    }
     const auto now = steady_clock::now();
     last_received_at_ = now;
-    const bool usable = !done_ && response_flags_.matches_request &&
-                        response_flags_.signed_by_target && head_.status == 200;
-    if (!usable) {
+    received_bytes_ += piece.size();
+    const std::size_t bytes_max = has_usable_body() ? response_bytes_max : unused_body_bytes_max;
+    if (received_bytes_ > bytes_max) {
+        abandon_response();
+        return http::flow::proceed;
+    }
+    if (!has_usable_body()) {
         return http::flow::proceed;
     }
     if (!target_first_byte_) {
         target_first_byte_ = duration_between(sent_at_, now);
     }
-    if (!response_flags_.is_event_stream) {
-        plain_body_ += plain_body_.size() < output_bytes_max ? piece : std::string();
-        return http::flow::proceed;
+    if (response_flags_.is_event_stream) {
+        take_events(piece);
+    }
+    else {
+        plain_body_ += piece;
     }
+    const bool too_large = plain_body_.size() > output_bytes_max ||
+                           input_.progress.text.size() > output_bytes_max || events_.overflowed();
+    if (too_large) {
+        abandon_response();
+    }
+    return http::flow::proceed;
+}
+
+void item_run::take_events(const std::string& piece)
+{
     for (const serving::stream_event& event : events_.feed(piece)) {
         if (event.id) {
             input_.progress.last_event = event.id;
@@ -161,7 +192,19 @@
             has_text_ = true;
         }
     }
-    return http::flow::proceed;
+}
+
+void item_run::abandon_response()
+{
+    done_ = true;
+    cancel_call();
+    release_admission(serving::slot_outcome::broken);
+    if (input_.progress.text.size() > output_bytes_max) {
+        // Going on from here would exceed the limit again.
+        input_.progress = {};
+        target_first_byte_.reset();
+    }
+    finish(item_run_outcome::interrupted, "answer_too_large");
 }
 
 void item_run::on_done(const http::call_result& result)
@@ -193,8 +236,7 @@
     }
     const bool broken_off =
         response_flags_.is_event_stream && head_.ends_with_connection && !events_.ends_with_event();
-    if (head_.status == 200 && response_flags_.signed_by_target && !broken_off &&
-        events_.incomplete_bytes().empty()) {
+    if (has_usable_body() && !broken_off && events_.incomplete_bytes().empty()) {
         if (!response_flags_.is_event_stream) {
             input_.progress.text = plain_body_;
         }
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -71,6 +71,12 @@
     void send_to_target();
     http::flow on_head(const http::response_head& head);
     http::flow on_piece(const std::string& piece);
+    /// Whether the response is the output of the item.
+    bool has_usable_body() const;
+    void take_events(const std::string& piece);
+    /// Ends the run because its response exceeds a size limit, as a target that sends without end
+    /// does.
+    void abandon_response();
     void on_done(const http::call_result& result);
     /// `repeated`: as in `http::call_result`.
     void on_complete_response(bool repeated);
@@ -99,6 +105,8 @@
     target_response_flags response_flags_;
     serving::event_splitter events_;
     std::string plain_body_;
+    /// Size of the response body so far.
+    std::size_t received_bytes_ = 0;
     bool has_text_ = false;
     bool done_ = false;
 };
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -14,8 +14,9 @@
 using std::chrono::steady_clock;
 
 /// A response that isn't an event stream is buffered up to this size, so that the request can be
-/// sent to another target if the response is cut short.
-constexpr std::size_t buffered_body_max = 4U << 20U;
+/// sent to another target if the response is cut short. What exceeds it is streamed to the caller
+/// if it is a success, else the attempt fails.
+constexpr std::size_t buffered_body_max = 64U << 10U;
 
 /// A request with less time left isn't sent to a target.
 constexpr milliseconds min_send_time{20};
@@ -178,14 +179,13 @@
         context_.translator.make_target_request(admitted_.request, attempt);
     set_time_limits(request, context_.timeouts, attempt.time_left);
     request.use = is_repeatable() ? http::connection_use::any : http::connection_use::recent;
-    request.body_limit = buffered_body_max;
 
     ++attempts_;
     sent_at_ = steady_clock::now();
     target_first_byte_.reset();
     head_ = {0, {}};
     response_flags_ = {};
-    head_rejected_ = false;
+    streams_body_ = false;
     buffered_body_.clear();
     events_ = serving::event_splitter();
 
@@ -225,13 +225,19 @@
                 self->context_.admission.set_unresponsive(self->admission_, true);
                 return;
             }
-            const auto call = std::exchange(self->call_, nullptr);
-            ++self->call_generation_;
-            call->cancel();
-            self->on_attempt_failed(serving::slot_outcome::silent, "no first byte", true);
+            self->abandon_attempt(serving::slot_outcome::silent, "no first byte");
         });
 }
 
+void online_exchange::abandon_attempt(serving::slot_outcome outcome, const std::string& reason)
+{
+    const auto call = std::exchange(call_, nullptr);
+    // From here on, the end of the call is ignored.
+    ++call_generation_;
+    call->cancel();
+    on_attempt_failed(outcome, reason, true);
+}
+
 http::flow online_exchange::on_head(const http::response_head& head)
 {
     head_ = head;
@@ -239,30 +245,59 @@
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, admitted_.request.id);
     }
-    head_rejected_ = !response_flags_.matches_request ||
-                     (is_success(head.status) && !response_flags_.signed_by_target);
+    const bool usable = response_flags_.matches_request &&
+                        (!is_success(head.status) || response_flags_.signed_by_target);
+    if (!usable) {
+        // Nothing that follows can be used, and it may have no end.
+        abandon_attempt(serving::slot_outcome::broken,
+                        "the response is unsigned or belongs to another request");
+    }
     return http::flow::proceed;
 }
 
-http::flow online_exchange::on_piece(std::string piece)
+bool online_exchange::is_event_stream() const
+{
+    return response_flags_.is_event_stream && is_success(head_.status);
+}
+
+http::flow online_exchange::on_plain_piece(std::string piece)
 {
-    if (head_rejected_) {
+    if (!streams_body_ && buffered_body_.size() + piece.size() <= buffered_body_max) {
+        buffered_body_ += piece;
+        return http::flow::proceed;
+    }
+    const bool may_stream = is_success(head_.status) && stage_ == response_stage::none;
+    if (!streams_body_ && !may_stream) {
+        abandon_attempt(serving::slot_outcome::broken, "the response exceeds its size limit");
         return http::flow::proceed;
     }
+    if (!streams_body_) {
+        streams_body_ = true;
+        start_streaming();
+        piece.insert(0, buffered_body_);
+        buffered_body_ = std::string();
+    }
+    return forward(std::move(piece));
+}
+
+http::flow online_exchange::on_piece(std::string piece)
+{
     if (!target_first_byte_) {
         target_first_byte_ = elapsed_since(sent_at_);
         context_.admission.set_unresponsive(admission_, false);
     }
-    const bool streams = response_flags_.is_event_stream && is_success(head_.status);
-    if (!streams) {
-        buffered_body_ += piece;
-        return http::flow::proceed;
+    if (!is_event_stream()) {
+        return on_plain_piece(std::move(piece));
     }
-    start_streaming();
     if (!is_repeatable()) {
+        start_streaming();
         if (head_.ends_with_connection) {
             events_.feed(piece);
         }
+        if (events_.overflowed()) {
+            abandon_attempt(serving::slot_outcome::broken, "an event exceeds its size limit");
+            return http::flow::proceed;
+        }
         return forward(std::move(piece));
     }
     // Only complete events are forwarded, because the events after them may come from another
@@ -274,7 +309,15 @@
         }
         complete_events += event.bytes;
     }
-    return complete_events.empty() ? http::flow::proceed : forward(std::move(complete_events));
+    http::flow next = http::flow::proceed;
+    if (!complete_events.empty()) {
+        start_streaming();
+        next = forward(std::move(complete_events));
+    }
+    if (events_.overflowed()) {
+        abandon_attempt(serving::slot_outcome::broken, "an event exceeds its size limit");
+    }
+    return next;
 }
 
 void online_exchange::start_streaming()
@@ -335,12 +378,6 @@
 
 void online_exchange::on_complete_response(bool repeated)
 {
-    if (!response_flags_.matches_request ||
-        (is_success(head_.status) && !response_flags_.signed_by_target)) {
-        on_attempt_failed(serving::slot_outcome::broken,
-                          "the response is unsigned or belongs to another request", true);
-        return;
-    }
     if (response_flags_.not_run) {
         // A target that has just crashed also rejects what it has lost with its connections.
         on_attempt_failed(repeated ? serving::slot_outcome::broken : serving::slot_outcome::not_run,
@@ -356,7 +393,7 @@
                           true);
         return;
     }
-    const bool streams = response_flags_.is_event_stream && is_success(head_.status);
+    const bool streams = is_event_stream();
     if (streams && head_.ends_with_connection && !events_.ends_with_event()) {
         on_attempt_failed(serving::slot_outcome::broken, "the stream ended inside an event", true);
         return;
@@ -364,7 +401,8 @@
     const bool failed = head_.status >= 500;
     const bool retry_elsewhere =
         failed && is_repeatable() && attempts_ < admitted_.route->attempts_max;
-    if (retry_elsewhere || (stage_ == response_stage::streaming && !streams)) {
+    const bool continues_stream = stage_ == response_stage::streaming && !streams_body_;
+    if (retry_elsewhere || (continues_stream && !streams)) {
         on_attempt_failed(serving::slot_outcome::failed, "status " + std::to_string(head_.status),
                           true);
         return;
@@ -378,7 +416,8 @@
         start_streaming();
     }
     if (stage_ == response_stage::streaming) {
-        std::string rest = unsent_ + (is_repeatable() ? events_.incomplete_bytes() : std::string());
+        const bool was_split = streams && is_repeatable();
+        std::string rest = unsent_ + (was_split ? events_.incomplete_bytes() : std::string());
         unsent_.clear();
         if (!rest.empty() && caller_->write(std::move(rest)) != http::write_result::buffered) {
             summary.complete = false;
@@ -431,8 +470,9 @@
 
 void online_exchange::retry()
 {
-    // A stream that was forwarded without splitting it into events can't resume on another target.
-    const bool resumable = stage_ == response_stage::none || is_repeatable();
+    // A response that was forwarded without splitting it into events can't resume on another
+    // target.
+    const bool resumable = stage_ == response_stage::none || (is_repeatable() && !streams_body_);
     const bool allowed =
         !may_have_run_ || (is_repeatable() && attempts_ < admitted_.route->attempts_max);
     if (resumable && allowed && time_left() > min_send_time) {
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -64,11 +64,18 @@
     void send_to_target();
     http::flow on_head(const http::response_head& head);
     http::flow on_piece(std::string piece);
+    /// Handles a piece of a response that isn't an event stream.
+    http::flow on_plain_piece(std::string piece);
     void on_done(const http::call_result& result);
     /// `repeated`: as in `http::call_result`.
     void on_complete_response(bool repeated);
     void on_attempt_failed(serving::slot_outcome outcome, const std::string& reason,
                            bool may_have_run);
+    /// Closes the connection of the current call and counts it as failed. Precondition: a call is
+    /// in progress.
+    void abandon_attempt(serving::slot_outcome outcome, const std::string& reason);
+    /// Whether the response to the current call is a successful event stream.
+    bool is_event_stream() const;
     void release_admission(serving::slot_outcome outcome);
     /// Keeps further attempts from the current target.
     void exclude_target();
@@ -119,7 +126,9 @@
     std::optional<std::chrono::milliseconds> target_first_byte_;
     http::response_head head_{0, {}};
     target_response_flags response_flags_;
-    bool head_rejected_ = false;
+    /// The body of a plain response is streamed to the caller, since it is too large to be
+    /// buffered.
+    bool streams_body_ = false;
     std::string buffered_body_;
     serving::event_splitter events_;
 
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -34,48 +34,59 @@
     }
 }
 
-/// Parses the first event into `event` and returns its length with the empty line, or nothing if it
-/// is incomplete.
-std::optional<std::size_t> parse_event(std::string_view text, stream_event& event)
+/// Returns the line that ends at `end`, without its line break.
+std::string_view line_between(std::string_view text, std::size_t begin, std::size_t end)
 {
+    std::string_view line = text.substr(begin, end - begin);
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+/// Parses a complete event with the empty line at its end.
+stream_event parse_event(std::string_view text)
+{
+    stream_event event;
+    event.bytes = text;
     bool has_data = false;
     std::size_t begin = 0;
-    for (;;) {
-        const std::size_t end = text.find('\n', begin);
-        if (end == std::string_view::npos) {
-            return std::nullopt;
-        }
-        std::string_view line = text.substr(begin, end - begin);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
+    for (std::size_t end = text.find('\n'); end != std::string_view::npos;
+         end = text.find('\n', begin)) {
+        parse_line(line_between(text, begin, end), event, has_data);
         begin = end + 1;
-        if (line.empty()) {
-            return begin;
-        }
-        parse_line(line, event, has_data);
     }
+    return event;
 }
 
 } // namespace
 
 std::vector<stream_event> event_splitter::feed(std::string_view bytes)
 {
-    incomplete_bytes_ += bytes;
     std::vector<stream_event> events;
-    std::size_t begin = 0;
-    for (;;) {
-        stream_event event;
-        const auto length = parse_event(std::string_view(incomplete_bytes_).substr(begin), event);
-        if (!length) {
-            break;
+    if (overflowed_) {
+        return events;
+    }
+    incomplete_bytes_ += bytes;
+    const std::string_view text(incomplete_bytes_);
+    std::size_t event_begin = 0;
+    for (std::size_t line_end = text.find('\n', line_begin_); line_end != std::string_view::npos;
+         line_end = text.find('\n', line_begin_)) {
+        const bool ends_event = line_between(text, line_begin_, line_end).empty();
+        line_begin_ = line_end + 1;
+        if (ends_event) {
+            events.push_back(parse_event(text.substr(event_begin, line_begin_ - event_begin)));
+            event_begin = line_begin_;
         }
-        event.bytes = incomplete_bytes_.substr(begin, *length);
-        begin += *length;
-        events.push_back(std::move(event));
     }
-    incomplete_bytes_.erase(0, begin);
+    incomplete_bytes_.erase(0, event_begin);
+    line_begin_ -= event_begin;
     has_event_ = has_event_ || !events.empty();
+    if (incomplete_bytes_.size() > bytes_max_) {
+        overflowed_ = true;
+        incomplete_bytes_ = std::string();
+        line_begin_ = 0;
+    }
     return events;
 }
 
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,22 +18,35 @@
     std::string data;
 };
 
+/// Default limit of the size of one event, in bytes.
+constexpr std::size_t event_bytes_max = 256U << 10U;
+
 /// Splits a stream of server-sent events, which arrives in pieces of any size, into complete
-/// events. Deterministic; not thread-safe.
+/// events. Keeps at most one incomplete event of limited size. Deterministic; not thread-safe.
 class event_splitter {
 public:
-    /// Appends bytes and returns the events that they complete.
+    /// `bytes_max`: size of an event in bytes above which the stream is taken as malformed.
+    explicit event_splitter(std::size_t bytes_max = event_bytes_max) : bytes_max_(bytes_max) {}
+
+    /// Appends bytes and returns the events that they complete; none once `overflowed`.
     std::vector<stream_event> feed(std::string_view bytes);
 
+    /// Whether an event has exceeded the limit. Its bytes and all after them are dropped.
+    bool overflowed() const { return overflowed_; }
+
     /// Bytes of the last event, which is incomplete.
     const std::string& incomplete_bytes() const { return incomplete_bytes_; }
 
     /// Whether the bytes so far are events and nothing else, at least one.
-    bool ends_with_event() const { return has_event_ && incomplete_bytes_.empty(); }
+    bool ends_with_event() const { return has_event_ && incomplete_bytes_.empty() && !overflowed_; }
 
 private:
+    std::size_t bytes_max_;
     std::string incomplete_bytes_;
+    /// Start of the first line in `incomplete_bytes_` whose end hasn't arrived.
+    std::size_t line_begin_ = 0;
     bool has_event_ = false;
+    bool overflowed_ = false;
 };
 
 } // namespace gooseberryfall::serving
--- a/tests/serving/serving_parts_test.cpp
+++ b/tests/serving/serving_parts_test.cpp
@@ -196,3 +196,25 @@
         cr_assert(splitter.incomplete_bytes() == "id: 3\nda");
     }
 }
+
+// Guards against an event without end that takes memory without limit.
+Test(event_splitter, drops_a_stream_with_an_event_above_the_limit)
+{
+    constexpr std::size_t limit = 1000;
+    for (const char* bytes : {"x", "data: x\n", ": note\n"}) {
+        serving::event_splitter splitter(limit);
+        cr_assert_eq(splitter.feed("id: 1\ndata: a\n\n").size(), 1U);
+        for (std::size_t fed = 0; fed <= limit; ++fed) {
+            cr_assert(splitter.feed(bytes).empty());
+            cr_assert_leq(splitter.incomplete_bytes().size(), limit);
+        }
+        cr_assert(splitter.overflowed());
+        cr_assert(splitter.feed("\n\nid: 2\ndata: b\n\n").empty());
+        cr_assert_not(splitter.ends_with_event());
+    }
+    serving::event_splitter many(limit);
+    for (std::size_t event = 0; event < limit; ++event) {
+        cr_assert_eq(many.feed("id: 1\ndata: a\n\n").size(), 1U);
+    }
+    cr_assert_not(many.overflowed());
+}
