edge: a leaving instance takes no request that might not end before it exits

Cause: a leaving instance takes requests for three lifetimes of its address and 0.3 s, and exits at leave_timeout whatever is open. A request that arrives late has less time left than its own limit. Calls about jobs that are forwarded to another owner wait up to 4.5 s for it and were cut the same way. Ruled out: a shorter time of intake for all, since most requests take a second and callers keep the address. Change: from SIGTERM on, a request whose time limit, that of its caller or its route, ends after the exit is rejected at once as not run, to be repeated elsewhere without delay. Forwarded job calls get the time until the exit and are then answered as uncertain.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -21,6 +21,9 @@
 /// Maximum number of requests that wait for the first desired state; bounds memory.
 constexpr std::size_t pending_max = 256;
 
+/// Time to write a response that becomes ready when its time limit ends.
+constexpr milliseconds final_write_time{100};
+
 } // namespace
 
 caller_gateway::caller_gateway(edge_context& context, job_service& jobs)
@@ -97,6 +100,10 @@
         jobs_.handle(request, about_job ? nullptr : route, team_id, std::move(caller));
         return;
     }
+    if (!ends_before_exit(received.received_at, *route, request)) {
+        reject(request, rejection_reason::leaving, caller);
+        return;
+    }
     admitted_request admitted;
     admitted.table = table;
     admitted.route = route;
@@ -107,6 +114,13 @@
     handle_online(std::move(admitted), std::move(caller));
 }
 
+bool caller_gateway::ends_before_exit(core::time_point received_at, const serving::route& route,
+                                      const caller_request& request) const
+{
+    return !exit_at_ ||
+           received_at + response_time_limit(route, request) + final_write_time <= *exit_at_;
+}
+
 bool caller_gateway::detect_retry(const serving::route& route, const caller_request& request)
 {
     if (!request.time_limit) {
--- a/src/edge/caller_gateway.hpp
+++ b/src/edge/caller_gateway.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,10 @@
     /// Processes timeouts. To be called about every 20 ms.
     void tick(core::time_point now);
 
+    /// This instance exits at `exit_at`, whatever is still open. From now on it rejects requests
+    /// whose time limit ends later, because their responses might be cut.
+    void set_exit_time(core::time_point exit_at) { exit_at_ = exit_at; }
+
     /// Rejects all requests from now on, before this instance exits.
     void begin_drain() { draining_ = true; }
 
@@ -38,6 +43,10 @@
     };
 
     void dispatch(pending_request received);
+    /// Whether a request that was received at this time gets its response before this instance
+    /// exits.
+    bool ends_before_exit(core::time_point received_at, const serving::route& route,
+                          const caller_request& request) const;
     void reject(const caller_request& request, rejection_reason reason,
                 const std::shared_ptr<http::responder>& caller);
     void handle_online(admitted_request request, std::shared_ptr<http::responder> caller);
@@ -48,6 +57,7 @@
     job_service& jobs_;
     std::size_t open_requests_ = 0;
     bool draining_ = false;
+    std::optional<core::time_point> exit_at_;
     /// Requests that wait for the first desired state.
     std::vector<pending_request> pending_;
     /// Longest time limit that callers have sent, by route: a first attempt has all of it left.
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -544,6 +544,9 @@
     registry_->remove_self();
     fleet_->leave();
     callers_server_->announce_closing();
+    const core::time_point exit_at = *leaving_since_ + settings_.dynamic.leave_timeout;
+    gateway_->set_exit_time(exit_at);
+    jobs_->set_exit_time(exit_at);
     jobs_->leave([this] { jobs_handed_over_ = true; });
 }
 
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -30,6 +30,9 @@
 /// An owner that takes longer to accept a connection is treated as unreachable.
 constexpr milliseconds owner_connect_timeout{200};
 
+/// Time to answer callers, before this instance exits, whose calls their owner hasn't answered.
+constexpr milliseconds final_answer_time{200};
+
 } // namespace
 
 job_service::job_service(edge_context& context, store& durable_store, http::client& peers,
@@ -371,7 +374,7 @@
     }
     request_to_owner.body = call->request.received.body;
     request_to_owner.timeouts.connect = owner_connect_timeout;
-    request_to_owner.timeouts.first_byte = settings_.forward_timeout + std::chrono::seconds(1);
+    request_to_owner.timeouts.first_byte = owner_response_timeout();
     request_to_owner.use = http::connection_use::any;
     http::call_observer observer;
     observer.on_done = [this, alive = alive_, call, owner](const http::call_result& result) {
@@ -382,6 +385,16 @@
     peers_.start(std::move(request_to_owner), std::move(observer));
 }
 
+milliseconds job_service::owner_response_timeout() const
+{
+    const milliseconds usual = settings_.forward_timeout + std::chrono::seconds(1);
+    if (!exit_at_) {
+        return usual;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(*exit_at_ - steady_clock::now());
+    return std::clamp(left - final_answer_time, milliseconds(1), usual);
+}
+
 void job_service::on_forwarded(const serving::partition_owner& owner,
                                const std::shared_ptr<routed_call>& call,
                                const http::call_result& result)
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -78,6 +78,9 @@
     /// Removes an instance that has exited, so that its partitions are reassigned.
     void remove_instance(const core::instance_id& instance) { group_.remove_member(instance); }
 
+    /// This instance exits at `exit_at`. Calls that are forwarded get their response before that.
+    void set_exit_time(core::time_point exit_at) { exit_at_ = exit_at; }
+
     /// Releases all partitions, leaves the group and calls `done`.
     void leave(std::function<void()> done);
 
@@ -132,6 +135,8 @@
     void on_forwarded(const serving::partition_owner& owner,
                       const std::shared_ptr<routed_call>& call, const http::call_result& result);
     bool store_unreachable(core::time_point now) const;
+    /// Time limit of a forwarded call.
+    std::chrono::milliseconds owner_response_timeout() const;
     /// Answers that the call can't be served and had no effect, unless it may have run.
     void reject(const routed_call& call, const std::string& reason,
                 std::chrono::milliseconds retry_after);
@@ -147,6 +152,7 @@
     std::map<std::uint32_t, std::unique_ptr<job_partition>> partitions_;
     std::list<std::shared_ptr<routed_call>> waiting_calls_;
     bool leaving_ = false;
+    std::optional<core::time_point> exit_at_;
     kernel::gauge& partitions_gauge_;
     kernel::gauge& running_gauge_;
     kernel::counter& forwarded_;
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -134,6 +134,7 @@
     settings.dynamic.results_retention = options_.results_retention;
     settings.jobs.partition.results_retention_margin = milliseconds(0);
     settings.dynamic.intake_grace = milliseconds(500);
+    settings.dynamic.leave_timeout = options_.leave_timeout;
     const std::string store_address = store.address(store_listeners_.at(instance));
     gooseberryfall::kernel::logger_settings log;
     logs_.at(instance) = std::make_unique<std::ostringstream>();
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -31,6 +31,8 @@
         std::size_t body_bytes = 4U << 20U;
         /// Time for which results are kept; 0 keeps them without limit.
         std::chrono::milliseconds results_retention{0};
+        /// Time after which a leaving instance exits.
+        std::chrono::milliseconds leave_timeout{7500};
     };
 
     explicit edge_deployment(options deployment_options);
