serving, edge: items of one service do not take the places of another

Cause: the owner of a partition runs at most 64 items, counting those that wait for a slot, and took the earliest deadlines of all services. Items that no target can run kept all places until their lifetime ended. Ruled out: the leader's queues, which are kept for each service; the writer of the partition, which is in order by need. Change: each service has its own 64 places in a partition. job_ledger chooses within each service; the earliest deadline still goes first there.

--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -63,6 +63,9 @@
     /// Ends the run without calling back.
     void stop();
 
+    /// Service whose targets run the item.
+    const core::service_id& service() const { return input_.service; }
+
     /// Progress of the item, including the output of this run.
     const serving::item_progress& progress() const { return input_.progress; }
 
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -371,17 +371,31 @@
 
 void job_partition::start_items(core::time_point now)
 {
-    if (runs_.size() >= settings_.concurrent_items_max || context_.routes == nullptr) {
+    if (context_.routes == nullptr) {
         return;
     }
-    std::map<std::string, milliseconds> objectives;
+    std::map<std::string, const serving::route*> routes;
+    std::map<core::service_id, std::size_t> places;
     for (const serving::route& route : context_.routes->state().routes) {
-        if (route.kind == serving::request_kind::batch) {
-            objectives[route.name] = route.batch.result_objective;
+        if (route.kind != serving::request_kind::batch) {
+            continue;
+        }
+        routes[route.name] = &route;
+        for (const serving::weighted_service& entry : route.services) {
+            places[entry.service] = settings_.concurrent_items_max;
+        }
+    }
+    for (const auto& [key, run] : runs_) {
+        const auto found = places.find(run->service());
+        if (found != places.end() && found->second > 0) {
+            --found->second;
         }
     }
-    for (const serving::runnable_item& item :
-         ledger_.runnable(objectives, settings_.concurrent_items_max - runs_.size(), now)) {
+    std::erase_if(places, [](const auto& entry) { return entry.second == 0; });
+    if (places.empty()) {
+        return;
+    }
+    for (const serving::runnable_item& item : ledger_.runnable(routes, places, now)) {
         start_item(item, now);
     }
 }
@@ -400,7 +414,7 @@
     input.progress = ledger_.progress(item.key);
     input.team = ledger_.team_of(job);
     input.host = route->host;
-    input.service = serving::choose_service(*route, core::stable_hash(input.item.id));
+    input.service = item.service;
     input.remaining_tokens = remaining_tokens(item.key);
     input.due_at = now + (item.due_at - wall_clock_now);
     input.expires_at =
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -19,8 +19,8 @@
 /// Settings of `job_partition`.
 struct partition_settings {
     store_limits limits;
-    /// Maximum number of items that run or wait for a slot at the same time; bounds memory and
-    /// connections.
+    /// Maximum number of items of each service that run or wait for a slot at the same time; bounds
+    /// memory and connections.
     std::size_t concurrent_items_max = 64;
     /// Time after which a submission or cancellation that isn't known to be written gets the
     /// response `job_outcome::uncertain`.
--- a/src/serving/job_ledger.cpp
+++ b/src/serving/job_ledger.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 
 namespace gooseberryfall::serving {
 
@@ -12,6 +13,13 @@
 /// Doublings after which the retry delay has reached its maximum with any settings.
 constexpr std::uint32_t doublings_max = 5;
 
+core::service_id choose_item_service(const route& job_route, const job_item& item)
+{
+    // Most routes have one service, for which the hash isn't needed.
+    const bool has_choice = job_route.services.size() > 1;
+    return choose_service(job_route, has_choice ? core::stable_hash(item.id) : 0);
+}
+
 } // namespace
 
 void job_ledger::load(job_record record)
@@ -146,30 +154,40 @@
 }
 
 std::vector<runnable_item>
-job_ledger::runnable(const std::map<std::string, std::chrono::milliseconds>& objectives,
-                     std::size_t limit, core::time_point now) const
+job_ledger::runnable(const std::map<std::string, const route*>& routes,
+                     const std::map<core::service_id, std::size_t>& places,
+                     core::time_point now) const
 {
-    std::vector<runnable_item> result;
+    std::map<core::service_id, std::vector<runnable_item>> queues;
     for (const auto& [id, job] : jobs_) {
-        const auto objective = objectives.find(job.route);
-        if (job.acceptance_pending || job.closed || objective == objectives.end()) {
+        const auto found = routes.find(job.route);
+        if (job.acceptance_pending || job.closed || found == routes.end()) {
             continue;
         }
+        const route& job_route = *found->second;
         for (std::uint32_t index = 0; index < job.items.size(); ++index) {
             const item_entry& item = job.items[index];
-            if (!item.finished && !item.running && now >= item.retry_at) {
-                result.push_back(
-                    {{id, index}, job.accepted_at + objective->second, item.spec.tokens});
+            if (item.finished || item.running || now < item.retry_at) {
+                continue;
+            }
+            const core::service_id service = choose_item_service(job_route, item.spec);
+            const auto free = places.find(service);
+            if (free != places.end() && free->second > 0) {
+                const core::wall_time due_at = job.accepted_at + job_route.batch.result_objective;
+                queues[service].push_back({{id, index}, due_at, service, item.spec.tokens});
             }
         }
     }
     const auto earlier = [](const runnable_item& a, const runnable_item& b) {
         return std::tie(a.due_at, a.key) < std::tie(b.due_at, b.key);
     };
-    const std::size_t count = std::min(limit, result.size());
-    std::partial_sort(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(count),
-                      result.end(), earlier);
-    result.resize(count);
+    std::vector<runnable_item> result;
+    for (auto& [service, queue] : queues) {
+        const std::size_t count = std::min(places.at(service), queue.size());
+        const auto end = queue.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(queue.begin(), end, queue.end(), earlier);
+        std::move(queue.begin(), end, std::back_inserter(result));
+    }
     return result;
 }
 
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.hpp"
+#include "serving/desired_state.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -112,6 +113,8 @@
 struct runnable_item {
     item_key key;
     core::wall_time due_at;
+    /// Service whose targets run it.
+    core::service_id service;
     /// Upper bound of the tokens that are left to generate.
     std::uint64_t tokens_left = 0;
 };
@@ -166,12 +169,13 @@
     /// The record of the job's closing has been written.
     void confirm_closed(const std::string& job);
 
-    /// At most `limit` items that are ready to run, the earliest deadline first. `objectives` holds
-    /// for each route the time from the acceptance of a job until its results are due; jobs of
-    /// other routes are left out.
-    std::vector<runnable_item>
-    runnable(const std::map<std::string, std::chrono::milliseconds>& objectives, std::size_t limit,
-             core::time_point now) const;
+    /// Items that are ready to run, the earliest deadline first within each service. Each service
+    /// has its own places, so that items that can't run do not delay those of other services.
+    /// `routes` holds the batch routes by name; jobs of other routes are left out. `places` holds
+    /// the maximum number of items of each service; a service that isn't named has none.
+    std::vector<runnable_item> runnable(const std::map<std::string, const route*>& routes,
+                                        const std::map<core::service_id, std::size_t>& places,
+                                        core::time_point now) const;
 
     /// Sets whether the item is being run. Clear it when a run has ended without a result.
     void set_running(const item_key& key, bool running);
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -52,6 +52,17 @@
             {"service", "lm"}, {"attempts", 3},      {"public", false}};
 }
 
+json::object batch_route(const std::string& name, const std::string& prefix,
+                         const std::string& service)
+{
+    json::object batch = route(name, prefix, "batch");
+    batch["service"] = service;
+    batch["result_target_ms"] = 18000;
+    batch["retention_s"] = 60;
+    batch["cap"] = 100000;
+    return batch;
+}
+
 } // namespace
 
 bool wait_until(const std::function<bool()>& condition, milliseconds limit)
@@ -99,17 +110,19 @@
     json::object fixed = route("fixed", "/fixed/", "streaming");
     json::object resumable = route("resumable", "/resumable/", "streaming");
     resumable["resumable"] = true;
-    json::object batch = route("notes", "/notes/", "batch");
-    batch["result_target_ms"] = 18000;
-    batch["retention_s"] = 60;
-    batch["cap"] = 100000;
+    json::array routes{fixed, resumable, batch_route("notes", "/notes/", "lm")};
+    json::array services{json::object{{"name", "lm"}}};
+    if (options_.has_idle_service) {
+        routes.push_back(batch_route("idle", "/idle/", "idle"));
+        services.push_back(json::object{{"name", "idle"}});
+    }
     const json::object team{{"name", "studio"},
                             {"api_keys", json::array(keys.begin(), keys.end())},
                             {"rate_per_s", options_.rate},
                             {"burst", options_.burst}};
     const json::object state{{"version", version},
-                             {"routes", {fixed, resumable, batch}},
-                             {"services", json::array{json::object{{"name", "lm"}}}},
+                             {"routes", std::move(routes)},
+                             {"services", std::move(services)},
                              {"limits",
                               {{"max_header_bytes", options_.header_bytes},
                                {"max_body_bytes", options_.body_bytes},
@@ -212,17 +225,18 @@
                 "prompt");
 }
 
-unsigned edge_deployment::submit(std::size_t instance, const std::string& job, int items)
+unsigned edge_deployment::submit(std::size_t instance, const std::string& job, int items,
+                                 const std::string& route)
 {
     json::array list;
     for (int index = 0; index < items; ++index) {
         list.push_back(json::object{{"id", job + "-" + std::to_string(index)},
-                                    {"path", "/notes/" + job + "/" + std::to_string(index)},
+                                    {"path", route + job + "/" + std::to_string(index)},
                                     {"headers", json::object{{names::token_usage, "10,50"}}},
                                     {"body", "cHJvbXB0"},
                                     {"tokens", 60}});
     }
-    return call(instance, "POST", "/notes/" + job,
+    return call(instance, "POST", route + job,
                 {{names::request_id, job}, {"Authorization", "Bearer key-a"}},
                 json::serialize(json::object{{"items", std::move(list)}}))
         .head.status;
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -31,6 +31,8 @@
         std::size_t body_bytes = 4U << 20U;
         /// Time for which results are kept; 0 keeps them without limit.
         std::chrono::milliseconds results_retention{0};
+        /// Adds a second batch route, `/idle/`, to a service that has no engines.
+        bool has_idle_service = false;
         /// Time after which a leaving instance exits.
         std::chrono::milliseconds leave_timeout{7500};
     };
@@ -64,8 +66,9 @@
                                              bool resumable = true,
                                              const std::string& key = "key-a");
 
-    /// Submits a job with this number of items and returns the HTTP status.
-    unsigned submit(std::size_t instance, const std::string& job, int items);
+    /// Submits a job with this number of items on a batch route and returns the HTTP status.
+    unsigned submit(std::size_t instance, const std::string& job, int items,
+                    const std::string& route = "/notes/");
     /// Reads the results of a job from a position on.
     gooseberryfall::http::call_result results(std::size_t instance, const std::string& job,
                                               int after = 0);
--- a/tests/edge/job_calls_test.cpp
+++ b/tests/edge/job_calls_test.cpp
@@ -44,3 +44,17 @@
     cr_assert_eq(result_count(deployment.wait_for_results(0, "job", 2)), 2U);
     cr_assert(deployment.runs_of("other-0").empty());
 }
+
+// Guards against accepted items that are left lying beside idle targets, because items of a service
+// without targets occupy all places.
+Test(job_calls, items_without_targets_do_not_delay_those_of_another_service, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 1, .has_idle_service = true});
+    deployment.wait_until_serving();
+    for (int job = 0; job < 8; ++job) {
+        cr_assert_eq(deployment.submit(0, "idle-" + std::to_string(job), 10, "/idle/"), 202U);
+    }
+    cr_assert_eq(deployment.submit(0, "job", 10), 202U);
+    cr_assert_eq(result_count(deployment.wait_for_results(0, "job", 10)), 10U);
+    cr_assert_eq(result_count(deployment.results(0, "idle-0").body), 0U);
+}
--- a/tests/serving/job_ledger_test.cpp
+++ b/tests/serving/job_ledger_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <map>
 #include <string>
 
 namespace core = gooseberryfall::core;
@@ -32,6 +34,22 @@
     return result;
 }
 
+/// The batch route of the jobs, with one service.
+struct notes_route {
+    /// Items that are ready to run, at most `limit`.
+    std::vector<serving::runnable_item> runnable(const job_ledger& ledger, std::size_t limit,
+                                                 core::time_point now) const
+    {
+        serving::route notes;
+        notes.name = "notes";
+        notes.services = {{lm, 1}};
+        notes.batch.result_objective = seconds(18);
+        return ledger.runnable({{notes.name, &notes}}, {{lm, limit}}, now);
+    }
+
+    core::service_id lm{"lm"};
+};
+
 /// Accepts a job and confirms its record as written. Returns the record.
 serving::job_record accept_job(job_ledger& ledger, const serving::job_submission& submission)
 {
@@ -63,10 +81,10 @@
     job_ledger ledger;
     std::optional<serving::job_record> record;
     ledger.accept(make_job("j", 2), noon, 0, record);
-    const std::map<std::string, milliseconds> objectives{{"notes", seconds(18)}};
-    cr_assert(ledger.runnable(objectives, 10, start).empty());
+    const notes_route notes;
+    cr_assert(notes.runnable(ledger, 10, start).empty());
     ledger.confirm_accepted("j");
-    cr_assert_eq(ledger.runnable(objectives, 10, start).size(), 2U);
+    cr_assert_eq(notes.runnable(ledger, 10, start).size(), 2U);
 }
 
 // Guards against more pending tokens of a team than its route allows.
@@ -116,8 +134,8 @@
     cr_assert_eq(results[0].item, 2U);
     cr_assert_eq(results[1].item, 0U);
     cr_assert(results[1].state == result_state::dead_letter);
-    const std::map<std::string, milliseconds> objectives{{"notes", seconds(18)}};
-    const auto runnable = new_owner.runnable(objectives, 10, start);
+    const notes_route notes;
+    const auto runnable = notes.runnable(new_owner, 10, start);
     cr_assert_eq(runnable.size(), 1U);
     cr_assert_eq(runnable.front().key.item, 1U);
 }
@@ -148,8 +166,8 @@
     cr_assert(ledger.close("j").has_value(), "the record is returned again until it is written");
     ledger.confirm_closed("j");
     cr_assert_not(ledger.close("j").has_value(), "closing is idempotent");
-    const std::map<std::string, milliseconds> objectives{{"notes", seconds(18)}};
-    cr_assert(ledger.runnable(objectives, 10, start).empty());
+    const notes_route notes;
+    cr_assert(notes.runnable(ledger, 10, start).empty());
     cr_assert_eq(ledger.pending_tokens(core::team_id("studio"), "notes"), 0U);
 }
 
@@ -158,12 +176,12 @@
 {
     job_ledger ledger;
     accept_job(ledger, make_job("j", 1));
-    const std::map<std::string, milliseconds> objectives{{"notes", seconds(18)}};
+    const notes_route notes;
     cr_assert_eq(ledger.record_failure({"j", 0}, true, start), 1U);
-    cr_assert(ledger.runnable(objectives, 10, start).empty());
-    cr_assert_eq(ledger.runnable(objectives, 10, start + milliseconds(200)).size(), 1U);
+    cr_assert(notes.runnable(ledger, 10, start).empty());
+    cr_assert_eq(notes.runnable(ledger, 10, start + milliseconds(200)).size(), 1U);
     cr_assert_eq(ledger.record_failure({"j", 0}, true, start), 2U);
-    cr_assert(ledger.runnable(objectives, 10, start + milliseconds(200)).empty());
+    cr_assert(notes.runnable(ledger, 10, start + milliseconds(200)).empty());
 }
 
 // Guards against removing jobs that still run or are within their retention time, and against
@@ -186,3 +204,36 @@
     cr_assert_not(ledger.has("done"));
     cr_assert(ledger.deletable_jobs(later) == std::vector<std::string>{"ended"});
 }
+
+// Guards against items that wait for a service without targets and keep those of another service
+// from running, by their earlier deadlines.
+Test(job_ledger, each_service_has_its_own_places)
+{
+    job_ledger ledger;
+    serving::route blocked;
+    blocked.name = "notes";
+    blocked.services = {{core::service_id("blocked"), 1}};
+    serving::route other;
+    other.name = "covers";
+    other.services = {{core::service_id("other"), 1}};
+    other.batch.result_objective = seconds(10);
+    accept_job(ledger, make_job("early", 100));
+    serving::job_submission late = make_job("late", 3);
+    late.route = other.name;
+    accept_job(ledger, late);
+    const std::map<std::string, const serving::route*> routes{{blocked.name, &blocked},
+                                                              {other.name, &other}};
+    const auto count_of = [&](const char* service, std::size_t blocked_places) {
+        const auto items = ledger.runnable(
+            routes,
+            {{core::service_id("blocked"), blocked_places}, {core::service_id("other"), 64}},
+            start);
+        return std::count_if(items.begin(), items.end(), [&](const serving::runnable_item& item) {
+            return item.service == core::service_id(service);
+        });
+    };
+    cr_assert_eq(count_of("blocked", 64), 64);
+    cr_assert_eq(count_of("other", 64), 3);
+    cr_assert_eq(count_of("blocked", 0), 0);
+    cr_assert_eq(count_of("other", 0), 3);
+}
