edge: a resumed stream that ends inside an event has broken off

Cause here: after a stream has begun and broken off, the next target's answer was appended as it was if it called itself a successful stream with a length or chunks, also when its bytes are no events. Failures, unsigned answers, plain successes and bytes that are no answer were not passed on; the test shows that, too. Change: for a stream that continues one, bytes after the last whole event mean that it has broken off: the caller's connection is closed before the end of its stream, or another target goes on.

--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -185,6 +185,7 @@
     target_first_byte_.reset();
     head_ = {0, {}};
     response_flags_ = {};
+    continues_stream_ = stage_ == response_stage::streaming;
     streams_body_ = false;
     buffered_body_.clear();
     events_ = serving::event_splitter();
@@ -394,15 +395,14 @@
         return;
     }
     const bool streams = is_event_stream();
-    if (streams && head_.ends_with_connection && !events_.ends_with_event()) {
+    if (streams && ends_inside_event()) {
         on_attempt_failed(serving::slot_outcome::broken, "the stream ended inside an event", true);
         return;
     }
     const bool failed = head_.status >= 500;
     const bool retry_elsewhere =
         failed && is_repeatable() && attempts_ < admitted_.route->attempts_max;
-    const bool continues_stream = stage_ == response_stage::streaming && !streams_body_;
-    if (retry_elsewhere || (continues_stream && !streams)) {
+    if (retry_elsewhere || (continues_stream_ && !streams)) {
         on_attempt_failed(serving::slot_outcome::failed, "status " + std::to_string(head_.status),
                           true);
         return;
@@ -434,6 +434,15 @@
     finish(summary);
 }
 
+bool online_exchange::ends_inside_event() const
+{
+    if (head_.ends_with_connection) {
+        return !events_.ends_with_event();
+    }
+    // What a target sends in place of events must not be joined to the events of the one before.
+    return continues_stream_ && !events_.incomplete_bytes().empty();
+}
+
 void online_exchange::release_admission(serving::slot_outcome outcome)
 {
     if (admission_ != 0) {
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -76,6 +76,9 @@
     void abandon_attempt(serving::slot_outcome outcome, const std::string& reason);
     /// Whether the response to the current call is a successful event stream.
     bool is_event_stream() const;
+    /// Whether the response to the current call, which is complete by its framing, has broken off
+    /// in the middle of an event.
+    bool ends_inside_event() const;
     void release_admission(serving::slot_outcome outcome);
     /// Keeps further attempts from the current target.
     void exclude_target();
@@ -126,6 +129,8 @@
     std::optional<std::chrono::milliseconds> target_first_byte_;
     http::response_head head_{0, {}};
     target_response_flags response_flags_;
+    /// The caller has got events of an earlier call, which the current call is to continue.
+    bool continues_stream_ = false;
     /// The body of a plain response is streamed to the caller, since it is too large to be
     /// buffered.
     bool streams_body_ = false;
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -292,6 +292,15 @@
     }
 }
 
+bool edge_deployment::wait_for_targets(int count) const
+{
+    const std::string expected = "\nfleet_targets " + std::to_string(count) + "\n";
+    return wait_until([&] {
+        return http::call(internal_address(0), "GET", "/metrics").body.find(expected) !=
+               std::string::npos;
+    });
+}
+
 std::vector<stand_ins::engine_run> edge_deployment::runs_of(const std::string& request) const
 {
     std::vector<stand_ins::engine_run> result;
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -51,6 +51,10 @@
     /// target that a test answers for by itself.
     void wait_until_idle();
 
+    /// Waits until the first instance knows this number of usable targets; returns false if that
+    /// takes too long.
+    bool wait_for_targets(int count) const;
+
     /// Writes a desired state with these API keys to the store.
     void put_state(std::uint64_t version, const std::vector<std::string>& keys);
 
--- a/tests/edge/endless_responses_test.cpp
+++ b/tests/edge/endless_responses_test.cpp
@@ -1,7 +1,7 @@
 /// Tests how an instance handles targets that send bytes without end.
 
 #include "edge/edge_deployment.hpp"
-#include "edge/endless_target.hpp"
+#include "edge/raw_target.hpp"
 #include "kernel/kernel.hpp"
 #include "platform/names.hpp"
 
@@ -27,30 +27,22 @@
 
 constexpr std::uint32_t slots = 64;
 
-/// Header lines that make a response belong to the request with this head.
-std::string response_headers(const std::string& request_head)
-{
-    const std::string name = std::string(names::request_id) + ": ";
-    const std::size_t begin = request_head.find(name);
-    const std::size_t end = request_head.find("\r\n", begin);
-    return request_head.substr(begin, end - begin) + "\r\n" + names::signature + ": s\r\n";
-}
-
 std::string begin_failure(const std::string& request_head)
 {
-    return "HTTP/1.1 500 Internal Server Error\r\n" + response_headers(request_head) + "\r\n";
+    return "HTTP/1.1 500 Internal Server Error\r\n" + raw_target::response_headers(request_head) +
+           "\r\n";
 }
 
 std::string begin_stream(const std::string& request_head)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-           response_headers(request_head) + "\r\n";
+           raw_target::response_headers(request_head) + "\r\n";
 }
 
 std::string begin_plain(const std::string& request_head)
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + response_headers(request_head) +
-           "\r\n";
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" +
+           raw_target::response_headers(request_head) + "\r\n";
 }
 
 std::string begin_nothing(const std::string&)
@@ -74,21 +66,6 @@
     {"event without a line break", begin_stream, "x"},
 };
 
-std::string target_entry(const std::string& address)
-{
-    return R"({"service":"lm","address":")" + address +
-           R"(","zone":"a","slots":64,"state":"ready","sequence":1,"born":1000})";
-}
-
-bool wait_for_targets(edge_deployment& deployment, int count)
-{
-    const std::string expected = "\nfleet_targets " + std::to_string(count) + "\n";
-    return wait_until([&] {
-        return http::call(deployment.internal_address(0), "GET", "/metrics").body.find(expected) !=
-               std::string::npos;
-    });
-}
-
 struct timed_response {
     http::call_result result;
     std::chrono::steady_clock::duration duration;
@@ -156,11 +133,11 @@
     send_requests(deployment, "warm", concurrent, false);
     deployment.store.put(names::target_topic, "engine-0",
                          deployment.engines[0]->target_entry(true));
-    cr_assert(wait_for_targets(deployment, 0));
+    cr_assert(deployment.wait_for_targets(0));
     for (const endless_case& each : endless_cases) {
-        const endless_target faulty(each.begin, each.repeated);
-        deployment.store.put(names::target_topic, "faulty", target_entry(faulty.address()));
-        cr_assert(wait_for_targets(deployment, 1));
+        const raw_target faulty(each.begin, each.repeated);
+        deployment.store.put(names::target_topic, "faulty", faulty.entry());
+        cr_assert(deployment.wait_for_targets(1));
         memory_watch memory;
         for (const timed_response& response :
              send_requests(deployment, each.name, concurrent, true)) {
@@ -175,7 +152,7 @@
         cr_assert_lt(growth, growth_max, "%s: %llu bytes", each.name,
                      static_cast<unsigned long long>(growth));
         deployment.store.put(names::target_topic, "faulty", "");
-        cr_assert(wait_for_targets(deployment, 0));
+        cr_assert(deployment.wait_for_targets(0));
     }
 }
 
@@ -186,9 +163,9 @@
     for (const endless_case& each : endless_cases) {
         edge_deployment deployment({.instances = 1, .engines = 1});
         deployment.wait_until_idle();
-        const endless_target faulty(each.begin, each.repeated);
-        deployment.store.put(names::target_topic, "faulty", target_entry(faulty.address()));
-        cr_assert(wait_for_targets(deployment, 2));
+        const raw_target faulty(each.begin, each.repeated);
+        deployment.store.put(names::target_topic, "faulty", faulty.entry());
+        cr_assert(deployment.wait_for_targets(2));
         // More than the sound target has slots.
         for (const timed_response& response : send_requests(deployment, "r", 12, true)) {
             const http::call_result& result = response.result;
@@ -209,9 +186,9 @@
     for (const endless_case& each : cases) {
         edge_deployment deployment({.instances = 1, .engines = 1});
         deployment.wait_until_idle();
-        const endless_target faulty(each.begin, each.repeated);
-        deployment.store.put(names::target_topic, "faulty", target_entry(faulty.address()));
-        cr_assert(wait_for_targets(deployment, 2));
+        const raw_target faulty(each.begin, each.repeated);
+        deployment.store.put(names::target_topic, "faulty", faulty.entry());
+        cr_assert(deployment.wait_for_targets(2));
         cr_assert_eq(deployment.submit(0, "job", 20), 202U);
         const std::string body = deployment.wait_for_results(0, "job", 20);
         cr_assert_gt(faulty.request_count(), 0U, "%s", each.name);
@@ -233,20 +210,16 @@
     edge_deployment deployment({.instances = 1, .engines = 1});
     deployment.wait_until_idle();
     constexpr std::size_t body_bytes = 20U << 20U;
-    const raw_listener target;
-    deployment.store.put(names::target_topic, "large", target_entry(target.address()));
-    cr_assert(wait_for_targets(deployment, 2));
+    const raw_target target([&](const std::string& request_head) {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " +
+               std::to_string(body_bytes) + "\r\n" + raw_target::response_headers(request_head) +
+               "\r\n" + std::string(body_bytes, 'x');
+    });
+    deployment.store.put(names::target_topic, "large", target.entry());
+    cr_assert(deployment.wait_for_targets(2));
     deployment.store.put(names::target_topic, "engine-0",
                          deployment.engines[0]->target_entry(true));
-    cr_assert(wait_for_targets(deployment, 1));
-    auto engine = std::async(std::launch::async, [&] {
-        const raw_connection connection = target.accept();
-        const std::string head = connection.receive_until("\r\n\r\n");
-        connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " +
-                        std::to_string(body_bytes) + "\r\n" + response_headers(head) + "\r\n" +
-                        std::string(body_bytes, 'x'));
-        connection.receive_all();
-    });
+    cr_assert(deployment.wait_for_targets(1));
     http::event_loop loop("caller");
     http::client client(loop);
     http::client_request request;
@@ -266,6 +239,4 @@
     const http::call_result result = ended.get_future().get();
     cr_assert(result.outcome == http::call_outcome::completed, "%s", result.reason.c_str());
     cr_assert(result.body == std::string(body_bytes, 'x'));
-    deployment.kill(0);
-    engine.get();
 }
--- a/tests/edge/endless_target.hpp
+++ b/tests/edge/raw_target.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/raw_socket.hpp"
+#include "platform/names.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -10,19 +11,19 @@
 #include <string>
 #include <thread>
 
-/// A target whose responses have no end: it sends until its caller closes the connection.
-/// Thread-safe.
-class endless_target {
+/// A target that responds with bytes that the test chooses, followed by the end of the connection
+/// or by repetitions without end. Thread-safe.
+class raw_target {
 public:
-    /// `begin_response` returns what a response begins with, given the head of the request. It is
-    /// followed by repetitions of `repeated`.
-    endless_target(std::function<std::string(const std::string&)> begin_response,
-                   std::string repeated)
+    /// `begin_response` returns what a response begins with, given the head of the request. If
+    /// `repeated` isn't empty, repetitions of it follow until the caller closes the connection.
+    raw_target(std::function<std::string(const std::string&)> begin_response,
+               std::string repeated = {})
         : begin_response_(std::move(begin_response)), repeated_(std::move(repeated)),
           acceptor_([this] { accept_connections(); })
     {
     }
-    ~endless_target()
+    ~raw_target()
     {
         stopping_ = true;
         // Ends the wait for a connection.
@@ -31,10 +32,10 @@
         const std::lock_guard lock(mutex_);
         connections_.clear();
     }
-    endless_target(const endless_target&) = delete;
-    endless_target& operator=(const endless_target&) = delete;
-    endless_target(endless_target&&) = delete;
-    endless_target& operator=(endless_target&&) = delete;
+    raw_target(const raw_target&) = delete;
+    raw_target& operator=(const raw_target&) = delete;
+    raw_target(raw_target&&) = delete;
+    raw_target& operator=(raw_target&&) = delete;
 
     /// `ip:port`.
     std::string address() const { return listener_.address(); }
@@ -42,6 +43,23 @@
     /// Number of requests so far.
     std::size_t request_count() const { return request_count_; }
 
+    /// Header lines that make a response belong to the request with this head and sign it.
+    static std::string response_headers(const std::string& request_head)
+    {
+        namespace names = gooseberryfall::adapter::names;
+        const std::string name = std::string(names::request_id) + ": ";
+        const std::size_t begin = request_head.find(name);
+        const std::size_t end = request_head.find("\r\n", begin);
+        return request_head.substr(begin, end - begin) + "\r\n" + names::signature + ": s\r\n";
+    }
+
+    /// Entry of this target in the store.
+    std::string entry() const
+    {
+        return R"({"service":"lm","address":")" + address() +
+               R"(","zone":"a","slots":64,"state":"ready","sequence":1,"born":1000})";
+    }
+
 private:
     void accept_connections()
     {
@@ -61,6 +79,9 @@
         }
         ++request_count_;
         bool open = connection.send(begin_response_(head));
+        if (repeated_.empty()) {
+            return;
+        }
         std::string block;
         while (block.size() < block_bytes) {
             block += repeated_;
