soak, tests: hand no descriptors down to the processes under test

Cause: daemons are started while the soak's proxies hold connections, and inherited them. A connection that a proxy closed stayed open in the daemon, so that the engine never saw the end. Change: posix_spawn closes all descriptors above the standard ones. The soak itself has no check of it yet.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -23,6 +23,9 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(), open_flags,
                                      permissions);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A daemon that inherited the connections of the proxies would keep them open after their ends
+    // have closed them, so that an engine wouldn't see that its caller has gone.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string settings_flag = "--settings=" + settings_path;
     std::string program_name = program;
     char* arguments[] = {program_name.data(), settings_flag.data(), nullptr};
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -37,6 +37,8 @@
     if (with_errors) {
         posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
     }
+    // Inherited connections would stay open after their ends have closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<std::string> all{program};
     all.insert(all.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
