edge: the end of a leaving instance doesn't move with its settings

Cause: requests are taken by the exit that holds at the SIGTERM, but a reload could bring the exit forward. Ruled out: nothing else reads leave_timeout while leaving. Change: the exit is fixed when the instance begins to leave; names and reserves as a newcomer and the linter ask.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -544,9 +544,10 @@
     registry_->remove_self();
     fleet_->leave();
     callers_server_->announce_closing();
-    const core::time_point exit_at = *leaving_since_ + settings_.dynamic.leave_timeout;
-    gateway_->set_exit_time(exit_at);
-    jobs_->set_exit_time(exit_at);
+    // Later changes of the settings do not move it, since requests are taken by it.
+    exit_at_ = *leaving_since_ + settings_.dynamic.leave_timeout;
+    gateway_->set_exit_time(exit_at_);
+    jobs_->set_exit_time(exit_at_);
     jobs_->leave([this] { jobs_handed_over_ = true; });
 }
 
@@ -563,7 +564,7 @@
         gateway_->begin_drain();
         callers_server_->drain([this] { callers_drained_ = true; });
     }
-    if ((callers_drained_ && jobs_handed_over_) || elapsed >= settings_.dynamic.leave_timeout) {
+    if ((callers_drained_ && jobs_handed_over_) || now >= exit_at_) {
         has_left_ = true;
     }
 }
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -113,6 +113,8 @@
     core::time_point job_owner_check_at_{};
     core::time_point started_at_ = std::chrono::steady_clock::now();
     std::optional<core::time_point> leaving_since_;
+    /// When a leaving instance ends, whatever is still open. Set with `leaving_since_`.
+    core::time_point exit_at_{};
     bool jobs_handed_over_ = false;
     /// Set when a leaving instance no longer accepts requests.
     bool intake_ended_ = false;
--- a/tests/edge/endless_responses_test.cpp
+++ b/tests/edge/endless_responses_test.cpp
@@ -76,6 +76,7 @@
                                           int count, bool resumable)
 {
     std::vector<std::future<timed_response>> pending;
+    pending.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         pending.push_back(std::async(std::launch::async, [&, number] {
             const auto begun = steady_clock::now();
@@ -85,6 +86,7 @@
         }));
     }
     std::vector<timed_response> responses;
+    responses.reserve(pending.size());
     for (auto& each : pending) {
         responses.push_back(each.get());
     }
