tests: one result_count and one wait_for_targets for the edge tests

edge_node_test had a lambda that edge_deployment::wait_for_targets repeated, and result_count stood in two files. The assertions stay.

--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -65,6 +65,11 @@
 
 } // namespace
 
+std::size_t result_count(const std::string& body)
+{
+    return body.empty() ? 0 : json::parse(body).at("results").as_array().size();
+}
+
 bool wait_until(const std::function<bool()>& condition, milliseconds limit)
 {
     const auto end = steady_clock::now() + limit;
@@ -256,8 +261,7 @@
         [&] {
             const auto page = results(instance, job);
             body = page.body;
-            return page.head.status == 200 && json::parse(body).at("results").as_array().size() ==
-                                                  static_cast<std::size_t>(items);
+            return page.head.status == 200 && result_count(body) == static_cast<std::size_t>(items);
         },
         limit);
     return body;
@@ -287,7 +291,7 @@
 void edge_deployment::wait_until_idle()
 {
     wait_until_serving();
-    if (json::parse(wait_for_results(0, warm_job, 1)).at("results").as_array().size() != 1) {
+    if (result_count(wait_for_results(0, warm_job, 1)) != 1) {
         throw std::runtime_error("the first job does not end within the time limit");
     }
 }
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -109,6 +109,9 @@
     std::int64_t start_count_ = 0;
 };
 
+/// Number of results in a page of a job's results; 0 if the body is empty.
+std::size_t result_count(const std::string& body);
+
 /// Polls until a condition holds; returns false if it does not within the limit.
 bool wait_until(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::seconds(10));
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -26,11 +26,6 @@
 
 namespace {
 
-std::size_t result_count(const std::string& body)
-{
-    return body.empty() ? 0 : json::parse(body).at("results").as_array().size();
-}
-
 /// Ids of the items in a page of results, in order.
 std::vector<std::string> item_ids(const std::string& body)
 {
@@ -987,20 +982,13 @@
     edge_deployment deployment({.instances = 1, .engines = 1});
     deployment.wait_until_idle();
     const raw_listener unframed;
-    const auto wait_for_targets = [&](int count) {
-        const std::string expected = "\nfleet_targets " + std::to_string(count) + "\n";
-        return wait_until([&] {
-            return http::call(deployment.internal_address(0), "GET", "/metrics")
-                       .body.find(expected) != std::string::npos;
-        });
-    };
     const auto list_engine = [&](bool draining) {
         deployment.store.put(names::target_topic, "engine-0",
                              deployment.engines[0]->target_entry(draining));
-        return wait_for_targets(draining ? 1 : 2);
+        return deployment.wait_for_targets(draining ? 1 : 2);
     };
     deployment.store.put(names::target_topic, "unframed", target_entry(unframed.address(), "8"));
-    cr_assert(wait_for_targets(2));
+    cr_assert(deployment.wait_for_targets(2));
     const auto answer_once = [&](const std::string& id, const std::string& body, bool resumes) {
         return std::async(std::launch::async, [&, id, body, resumes] {
             const raw_connection connection = unframed.accept();
--- a/tests/edge/job_calls_test.cpp
+++ b/tests/edge/job_calls_test.cpp
@@ -2,9 +2,6 @@
 
 #include "edge/edge_deployment.hpp"
 
-// Included before Criterion, whose macros break Boost's headers.
-#include <boost/json.hpp>
-
 #include <criterion/criterion.h>
 
 #include <future>
@@ -12,18 +9,8 @@
 #include <thread>
 
 namespace stand_ins = gooseberryfall::stand_ins;
-namespace json = boost::json;
 using std::chrono::milliseconds;
 
-namespace {
-
-std::size_t result_count(const std::string& body)
-{
-    return body.empty() ? 0 : json::parse(body).at("results").as_array().size();
-}
-
-} // namespace
-
 // Guards against a job that runs although its caller was told that it doesn't: its record is queued
 // while the store doesn't respond, and the submission comes again.
 Test(job_calls, job_with_a_queued_record_is_not_rejected, .timeout = 60)
