http: reset the connection of a call that is given up

Cause: a call that ended without a complete response (cancelled, timed out, malformed) closed its connection plainly. On a real socket that is the same as the end of the sending side. A target that waits for a slot or is at its prefill learns nothing, its first write is accepted and only the second one fails, while the request goes on at another target: after a hedge, when an item stalls or is preempted, after a foreign response. Class: telling the other side by a signal that it can't tell from another.

Ruled out: that the end of the sending side suffices. Targets may take it for a caller that still reads, as HTTP allows. That a confirmation could be waited for: the protocol has none for an ended run.

Change: transport::abort resets the connection (SO_LINGER with 0 s, set beside asio, which undoes it when a socket is destroyed); every call without a complete response ends by it. A complete response closes plainly or is pooled as before.

Conclusion: a target whose caller has given up learns so at its next look at the connection. A target that looks at neither errors nor writes is out of reach.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -91,13 +91,18 @@
         return;
     }
     fail(call_outcome::cancelled, "cancelled");
+    close_connection();
+    resume_signal_.notify();
+    finish();
+}
+
+void client_call::close_connection()
+{
     error_code ignored;
     connecting_socket_.close(ignored);
     if (connection_ != nullptr) {
-        connection_->close();
+        connection_->abort();
     }
-    resume_signal_.notify();
-    finish();
 }
 
 awaitable<void> client_call::perform()
@@ -108,6 +113,7 @@
             // The cause that made one idle connection stale has probably affected the others to
             // this address, too.
             core_->close_idle(request_.address);
+            close_connection();
             const bool lost = result_.outcome == call_outcome::connection_lost;
             failed_ = false;
             result_ = call_result();
@@ -118,6 +124,9 @@
     catch (const std::exception& error) {
         fail(call_outcome::invalid_response, error.what());
     }
+    if (failed_) {
+        close_connection();
+    }
     connection_.reset();
     finish();
 }
@@ -426,11 +435,7 @@
     else {
         fail(call_outcome::timed_out, text);
     }
-    error_code ignored;
-    connecting_socket_.close(ignored);
-    if (connection_ != nullptr) {
-        connection_->close();
-    }
+    close_connection();
     // If the server is unresponsive on one connection, its idle connections are probably
     // unresponsive, too.
     core_->close_idle(request_.address);
--- a/src/http/client_core.hpp
+++ b/src/http/client_core.hpp
@@ -128,6 +128,9 @@
     /// `head_expires_at_` in any case.
     std::chrono::milliseconds time_to_next_byte() const;
     void on_timeout();
+    /// Closes the connection of a call that ends without a complete response. The server learns
+    /// that the response isn't wanted any more, and can end its work.
+    void close_connection();
     void finish();
 
     std::shared_ptr<client_core> core_;
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -114,6 +114,15 @@
     socket_.close(ignored);
 }
 
+void transport::abort()
+{
+    // Not through asio, which undoes the option when a socket is destroyed.
+    const linger reset_on_close{1, 0};
+    ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+                 sizeof(reset_on_close));
+    close();
+}
+
 std::unique_ptr<transport> make_plain_transport(tcp::socket socket)
 {
     return std::make_unique<plain_transport>(std::move(socket));
--- a/src/http/transport.hpp
+++ b/src/http/transport.hpp
@@ -49,6 +49,11 @@
     /// Closes the socket; pending operations end with an error.
     void close();
 
+    /// Closes the socket with a TCP reset. Unlike a plain close, which only ends the sending side
+    /// as the peer sees it, this tells the peer that nobody reads any more, and its next write
+    /// fails. Bytes that have not been sent yet are dropped.
+    void abort();
+
     tcp::socket& socket() { return socket_; }
 
 protected:
--- /dev/null
+++ b/tests/edge/abandoned_runs_test.cpp
@@ -0,0 +1,207 @@
+/// Tests that a run which goes on at another target has ended at the one before.
+
+#include "edge/edge_deployment.hpp"
+#include "edge/raw_target.hpp"
+#include "platform/names.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace names = gooseberryfall::adapter::names;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Time that a target may still work on a run after it went on elsewhere.
+constexpr milliseconds overlap_max{400};
+
+/// A complete response to another request, after which the connection stays open.
+std::string foreign_response()
+{
+    return std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n") +
+           names::request_id + ": another\r\n" + names::signature +
+           ": s\r\nContent-Length: 19\r\n\r\nid: 0\ndata: other\n\n";
+}
+
+std::string no_response()
+{
+    return {};
+}
+
+/// Work on a request at a target.
+struct work {
+    std::string request;
+    steady_clock::time_point begun_at;
+    /// Unset while the target still works.
+    std::optional<steady_clock::time_point> ended_at;
+};
+
+/// A target that works on each request until its connection is reset. It takes the end of the
+/// caller's sending side for a caller that still reads. Thread-safe.
+class tenacious_target {
+public:
+    explicit tenacious_target(std::string first_bytes)
+        : first_bytes_(std::move(first_bytes)), acceptor_([this] { accept_connections(); })
+    {
+    }
+    ~tenacious_target()
+    {
+        stopping_ = true;
+        raw_connection::connect_to(listener_.port());
+        acceptor_.join();
+        const std::lock_guard lock(threads_mutex_);
+        threads_.clear();
+    }
+    tenacious_target(const tenacious_target&) = delete;
+    tenacious_target& operator=(const tenacious_target&) = delete;
+    tenacious_target(tenacious_target&&) = delete;
+    tenacious_target& operator=(tenacious_target&&) = delete;
+
+    /// Entry of this target in the store.
+    std::string entry() const
+    {
+        return R"({"service":"lm","address":")" + listener_.address() +
+               R"(","zone":"a","slots":8,"state":"ready","sequence":1,"born":1000})";
+    }
+
+    std::vector<work> all_work() const
+    {
+        const std::lock_guard lock(mutex_);
+        return work_;
+    }
+
+private:
+    void accept_connections()
+    {
+        while (!stopping_) {
+            raw_connection accepted = listener_.accept();
+            const std::lock_guard lock(threads_mutex_);
+            threads_.emplace_back([this, connection = std::move(accepted)] { serve(connection); });
+        }
+    }
+
+    void serve(const raw_connection& connection)
+    {
+        const std::string head = connection.receive_until("\r\n\r\n");
+        const std::string name = std::string(names::request_id) + ": ";
+        const std::size_t begin = head.find(name);
+        if (begin == std::string::npos) {
+            return;
+        }
+        const std::string request =
+            head.substr(begin + name.size(), head.find("\r\n", begin) - begin - name.size());
+        std::size_t index = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            index = work_.size();
+            work_.push_back({request, steady_clock::now(), std::nullopt});
+        }
+        connection.send(first_bytes_);
+        while (!stopping_ && !connection.is_reset()) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        const std::lock_guard lock(mutex_);
+        work_[index].ended_at = steady_clock::now();
+    }
+
+    std::string first_bytes_;
+    raw_listener listener_;
+    std::atomic<bool> stopping_{false};
+    mutable std::mutex mutex_;
+    std::vector<work> work_;
+    std::mutex threads_mutex_;
+    std::list<std::jthread> threads_;
+    std::thread acceptor_;
+};
+
+/// Work of all targets on a request, in the order in which it began.
+std::vector<work> work_on(const std::list<tenacious_target>& targets, const std::string& request)
+{
+    std::vector<work> result;
+    for (const tenacious_target& target : targets) {
+        for (const work& each : target.all_work()) {
+            if (each.request == request) {
+                result.push_back(each);
+            }
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const work& left, const work& right) { return left.begun_at < right.begun_at; });
+    return result;
+}
+
+/// A deployment whose only targets are tenacious ones.
+struct fixture {
+    edge_deployment deployment{{.instances = 1, .engines = 1}};
+    std::list<tenacious_target> targets;
+
+    explicit fixture(const std::string& first_bytes)
+    {
+        deployment.wait_until_idle();
+        deployment.store.put(names::target_topic, "engine-0",
+                             deployment.engines[0]->target_entry(true));
+        cr_assert(deployment.wait_for_targets(0));
+        for (int number = 0; number < 3; ++number) {
+            targets.emplace_back(first_bytes);
+            deployment.store.put(names::target_topic, "target-" + std::to_string(number),
+                                 targets.back().entry());
+        }
+        cr_assert(deployment.wait_for_targets(3));
+    }
+
+    void expect_no_overlap(const std::string& request) const
+    {
+        cr_assert(wait_until([&] { return work_on(targets, request).size() >= 2; }));
+        std::this_thread::sleep_for(overlap_max);
+        const std::vector<work> runs = work_on(targets, request);
+        for (std::size_t index = 1; index < runs.size(); ++index) {
+            const work& earlier = runs[index - 1];
+            if (runs[index].begun_at + overlap_max > steady_clock::now()) {
+                break;
+            }
+            cr_assert(earlier.ended_at.has_value(), "run %zu goes on", index);
+            cr_assert(*earlier.ended_at < runs[index].begun_at + overlap_max,
+                      "run %zu goes on too long", index);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a target that goes on working on a request that was sent to another one since no
+// response came.
+Test(abandoned_runs, silent_target_is_told_before_the_request_goes_on, .timeout = 60)
+{
+    fixture test(no_response());
+    const auto response =
+        std::async(std::launch::async, [&] { return test.deployment.stream(0, "r1"); });
+    test.expect_no_overlap("r1");
+}
+
+// Guards against a target that goes on working on a request that was sent to another one since the
+// response belonged to a third request.
+Test(abandoned_runs, target_with_a_foreign_response_is_told, .timeout = 60)
+{
+    fixture test(foreign_response());
+    const auto response =
+        std::async(std::launch::async, [&] { return test.deployment.stream(0, "r1"); });
+    test.expect_no_overlap("r1");
+}
+
+// Guards against an item that runs at two targets since the first one was silent.
+Test(abandoned_runs, silent_target_is_told_before_the_item_goes_on, .timeout = 60)
+{
+    fixture test(no_response());
+    cr_assert_eq(test.deployment.submit(0, "job", 1), 202U);
+    test.expect_no_overlap("job-0");
+}
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -63,7 +63,7 @@
 }
 
 /// Reads one request and responds with `text`.
-void respond(raw_connection& connection, const std::string& text)
+void respond(const raw_connection& connection, const std::string& text)
 {
     connection.receive_until("\r\n\r\n");
     connection.send(text);
@@ -319,6 +319,78 @@
     call->cancel();
 }
 
+// Guards against a response that is taken as complete, with an empty or short body, although its
+// server stopped in the middle of the head, also where the end of the connection may end a body.
+Test(client, response_that_stops_in_its_head_is_not_completed, .timeout = 60)
+{
+    const std::vector<std::string> heads{
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Signature: s\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Signature: s\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n"};
+    http::event_loop loop("test-client");
+    http::client_settings settings;
+    settings.accept_unframed = true;
+    http::client client(loop, settings);
+    for (const std::string& head : heads) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            const raw_listener listener;
+            std::promise<http::call_result> promise;
+            http::call_observer observer;
+            observer.on_done = [&promise](http::call_result result) {
+                promise.set_value(std::move(result));
+            };
+            const auto call = client.start(request_to(listener, connection_use::fresh), observer);
+            {
+                const raw_connection connection = listener.accept();
+                respond(connection, head.substr(0, size));
+            }
+            auto ended = promise.get_future();
+            cr_assert(ended.wait_for(10s) == std::future_status::ready);
+            const http::call_result result = ended.get();
+            cr_assert(result.outcome == call_outcome::connection_lost, "%s after %zu bytes of %s",
+                      http::to_text(result.outcome), size, head.c_str());
+            cr_assert_eq(result.head.status, 0U);
+        }
+    }
+}
+
+// Guards against a server that goes on working for a call that has been given up: it cannot tell a
+// plain close from a client that only ends its sending side.
+Test(client, abandoned_call_is_not_left_half_closed, .timeout = 30)
+{
+    const std::string begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbegin";
+    struct abandoned_case {
+        const char* name;
+        std::string response;
+        bool cancels;
+    };
+    const std::vector<abandoned_case> cases{{"cancelled before the response", "", true},
+                                            {"cancelled during the response", begun, true},
+                                            {"no first byte in time", "", false},
+                                            {"no further byte in time", begun, false},
+                                            {"malformed response", "nonsense\r\n\r\n", false}};
+    for (const abandoned_case& each : cases) {
+        const raw_listener listener;
+        fixture test;
+        std::promise<void> ended;
+        http::call_observer observer;
+        observer.on_done = [&ended](const http::call_result&) { ended.set_value(); };
+        http::client_request request = request_to(listener);
+        request.timeouts.first_byte = 200ms;
+        request.timeouts.between_bytes = 200ms;
+        const auto call = test.client.start(std::move(request), std::move(observer));
+        const raw_connection connection = listener.accept();
+        connection.receive_until("\r\n\r\n");
+        connection.send(each.response);
+        if (each.cancels) {
+            call->cancel();
+        }
+        cr_assert(ended.get_future().wait_for(10s) == std::future_status::ready);
+        cr_expect(connection.ends_with_reset(), "%s", each.name);
+    }
+}
+
 // Guards against a response that is buffered without limit while its reader is paused, and against
 // a timeout that is caused by the reader's own pause.
 Test(client, paused_reader_applies_backpressure)
--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -93,6 +93,21 @@
         return text;
     }
 
+    /// Whether the peer has reset the connection. A plain close, which is the same as the end of
+    /// the peer's sending side, doesn't count.
+    bool is_reset() const
+    {
+        pollfd entry{handle_, 0, 0};
+        return ::poll(&entry, 1, 0) == 1 && (entry.revents & (POLLERR | POLLHUP)) != 0;
+    }
+
+    /// Receives until the end of the connection and returns whether that is a reset.
+    bool ends_with_reset() const
+    {
+        receive_all();
+        return is_reset();
+    }
+
     /// Receives until the received bytes contain `expected`; returns all of them.
     std::string receive_until(const std::string& expected) const
     {
