edge: an item's foreign response ends its call, not only its run

Cause: a late response to another request on a kept connection, complete by its framing, ended the run of an item as "foreign_answer". The item went on elsewhere, and the connection, on which the target was still working on the item, went back to the pool. Online requests cancel their call since; items did not. Class: an end that tells nothing about the work behind it.

Ruled out: that the pool finds it: it looks for bytes and for the end, and there are none before the target answers.

Change: one decision for both, is_own_response. An item's run whose response isn't its own, or is an unsigned success, is abandoned at the head: its connection is reset. The four places that abandoned a run are one now.

--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -124,10 +124,7 @@
             self->start_stall_timer();
             return;
         }
-        self->done_ = true;
-        self->cancel_call();
-        self->release_admission(serving::slot_outcome::silent);
-        self->finish(item_run_outcome::interrupted, "target_silent");
+        self->abandon(serving::slot_outcome::silent, "target_silent");
     });
 }
 
@@ -138,13 +135,15 @@
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, input_.item.id);
     }
+    if (!done_ && !is_own_response(response_flags_, head.status)) {
+        abandon(serving::slot_outcome::broken, "foreign_answer");
+    }
     return http::flow::proceed;
 }
 
 bool item_run::has_usable_body() const
 {
-    return response_flags_.matches_request && response_flags_.signed_by_target &&
-           head_.status == 200;
+    return response_flags_.signed_by_target && head_.status == 200;
 }
 
 http::flow item_run::on_piece(const std::string& piece)
@@ -157,7 +156,7 @@
     received_bytes_ += piece.size();
     const std::size_t bytes_max = has_usable_body() ? response_bytes_max : unused_body_bytes_max;
     if (received_bytes_ > bytes_max) {
-        abandon_response();
+        abandon_oversized_response();
         return http::flow::proceed;
     }
     if (!has_usable_body()) {
@@ -175,7 +174,7 @@
     const bool too_large = plain_body_.size() > output_bytes_max ||
                            input_.progress.text.size() > output_bytes_max || events_.overflowed();
     if (too_large) {
-        abandon_response();
+        abandon_oversized_response();
     }
     return http::flow::proceed;
 }
@@ -194,17 +193,24 @@
     }
 }
 
-void item_run::abandon_response()
+void item_run::abandon_oversized_response()
 {
-    done_ = true;
-    cancel_call();
     release_admission(serving::slot_outcome::broken);
     if (input_.progress.text.size() > output_bytes_max) {
         // Going on from here would exceed the limit again.
         input_.progress = {};
         target_first_byte_.reset();
     }
-    finish(item_run_outcome::interrupted, "answer_too_large");
+    abandon(serving::slot_outcome::broken, "answer_too_large");
+}
+
+void item_run::abandon(serving::slot_outcome outcome, const char* reason)
+{
+    // From here on, the end of the call is ignored.
+    done_ = true;
+    cancel_call();
+    release_admission(outcome);
+    finish(item_run_outcome::interrupted, reason);
 }
 
 void item_run::on_done(const http::call_result& result)
@@ -223,11 +229,6 @@
 
 void item_run::on_complete_response(bool repeated)
 {
-    if (!response_flags_.matches_request) {
-        release_admission(serving::slot_outcome::broken);
-        finish(item_run_outcome::interrupted, "foreign_answer");
-        return;
-    }
     if (response_flags_.not_run) {
         release_admission(repeated ? serving::slot_outcome::broken
                                    : serving::slot_outcome::not_run);
@@ -261,11 +262,7 @@
     if (done_) {
         return;
     }
-    // From here on, the end of the call is ignored.
-    done_ = true;
-    cancel_call();
-    release_admission(serving::slot_outcome::cancelled);
-    finish(item_run_outcome::interrupted, "yielded");
+    abandon(serving::slot_outcome::cancelled, "yielded");
 }
 
 void item_run::cancel_call()
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -79,7 +79,9 @@
     void take_events(const std::string& piece);
     /// Ends the run because its response exceeds a size limit, as a target that sends without end
     /// does.
-    void abandon_response();
+    void abandon_oversized_response();
+    /// Ends the run and closes its connection, since the target may still be working on it.
+    void abandon(serving::slot_outcome outcome, const char* reason);
     void on_done(const http::call_result& result);
     /// `repeated`: as in `http::call_result`.
     void on_complete_response(bool repeated);
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -246,10 +246,7 @@
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, admitted_.request.id);
     }
-    const bool usable = response_flags_.matches_request &&
-                        (!is_success(head.status) || response_flags_.signed_by_target);
-    if (!usable) {
-        // Nothing that follows can be used, and it may have no end.
+    if (!is_own_response(response_flags_, head.status)) {
         abandon_attempt(serving::slot_outcome::broken,
                         "the response is unsigned or belongs to another request");
     }
--- a/src/edge/target_call.cpp
+++ b/src/edge/target_call.cpp
@@ -14,6 +14,12 @@
     request.timeouts.between_bytes = time_left;
 }
 
+bool is_own_response(const target_response_flags& flags, unsigned status)
+{
+    const bool is_success = status >= 200 && status < 300;
+    return flags.matches_request && (!is_success || flags.signed_by_target);
+}
+
 serving::slot_outcome to_slot_outcome(http::call_outcome outcome)
 {
     assert(outcome != http::call_outcome::completed);
--- a/src/edge/target_call.hpp
+++ b/src/edge/target_call.hpp
@@ -13,6 +13,11 @@
 void set_time_limits(http::client_request& request, const target_timeouts& timeouts,
                      std::chrono::milliseconds time_left);
 
+/// Whether the target has answered this request. If not, what follows the head is of no use, may
+/// have no end, and says nothing about the request, which the target may still be working on: its
+/// call has to be cancelled. Thread-safe.
+bool is_own_response(const target_response_flags& flags, unsigned status);
+
 /// Maps the outcome of a failed call to the outcome that is reported for its target. Precondition:
 /// `outcome` is not `completed`. Thread-safe.
 serving::slot_outcome to_slot_outcome(http::call_outcome outcome);
--- a/tests/edge/abandoned_runs_test.cpp
+++ b/tests/edge/abandoned_runs_test.cpp
@@ -198,6 +198,17 @@
     test.expect_no_overlap("r1");
 }
 
+// Guards against an item that runs at two targets: a complete response to another request looked
+// like the end of the run, and its connection was kept.
+Test(abandoned_runs, target_with_a_foreign_response_to_an_item_is_told, .timeout = 60)
+{
+    fixture test(foreign_response());
+    cr_assert_eq(test.deployment.submit(0, "job", 1), 202U);
+    cr_assert(wait_until([&] { return !work_on(test.targets, "job-0").empty(); }));
+    std::this_thread::sleep_for(overlap_max);
+    cr_assert(work_on(test.targets, "job-0").front().ended_at.has_value());
+}
+
 // Guards against an item that runs at two targets since the first one was silent.
 Test(abandoned_runs, silent_target_is_told_before_the_item_goes_on, .timeout = 60)
 {
