edge: drop requests that wait for a slot before the event loop ends

Cause: an instance that ended while online requests waited for a slot crashed (SIGSEGV in the destructor of a timer): the callbacks of waiting requests keep their exchanges alive, and were destroyed with the admission client, after the event loop. Found by a new test that kills instances under load (core dump: online_exchange::~online_exchange below edge_node::~edge_node).

Ruled out: the calls to targets and the callers' connections, which end on the loop.

Change: the node drops them on the loop, as it ends its other parts.

Conclusion: a process that is stopped while requests wait exits cleanly.

--- a/src/edge/admission_client.cpp
+++ b/src/edge/admission_client.cpp
@@ -271,6 +271,12 @@
     }
 }
 
+void admission_client::drop_all()
+{
+    // The callbacks keep exchanges alive, which may call back when they end.
+    const auto dropped = std::exchange(requests_, {});
+}
+
 std::vector<serving::reported_run> admission_client::runs() const
 {
     std::vector<serving::reported_run> result;
--- a/src/edge/admission_client.hpp
+++ b/src/edge/admission_client.hpp
@@ -77,6 +77,9 @@
     /// Replaces the desired state in force.
     void set_state(const serving::desired_state& state);
 
+    /// Drops all requests and runs without a callback, before the event loop ends.
+    void drop_all();
+
     /// Runs in progress, for the report to the leader.
     std::vector<serving::reported_run> runs() const;
 
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -213,6 +213,7 @@
         targets_client_.reset();
         peers_client_.reset();
         store_.reset();
+        admission_->drop_all();
     });
     logger_->write(kernel::log_level::info, "stopped", {{"instance", settings_.self.name}});
     // End the loop's thread before the objects that its tasks refer to are destroyed.
--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -1027,3 +1027,23 @@
     engine.get();
     cr_assert(complete.outcome == http::call_outcome::completed && complete.body == first_event);
 }
+
+// Guards against an instance that crashes at its exit, because requests that wait for a slot were
+// ended after their event loop.
+Test(edge_node, exits_while_requests_wait_for_a_slot, .timeout = 90)
+{
+    for (const std::size_t first : {std::size_t{0}, std::size_t{1}}) {
+        edge_deployment deployment({.instances = 2, .engines = 1});
+        deployment.wait_until_idle();
+        // If the first one led, requests at the other one wait until it leads.
+        deployment.kill(first);
+        std::vector<std::future<http::call_result>> requests;
+        for (int number = 0; number < 4; ++number) {
+            requests.push_back(std::async(std::launch::async, [&, number] {
+                return deployment.stream(1 - first, "r" + std::to_string(number));
+            }));
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+        deployment.kill(1 - first);
+    }
+}
