--- a/src/edge/admission_client.cpp
+++ b/src/edge/admission_client.cpp
@@ -114,7 +114,8 @@
     }
     placed_locally_at_ = now;
     local_placement_.set_limit_share(1.0 / members, now);
-    local_placement_.set_targets(targets);
+    local_placement_.set_rate_share(1.0 / members);
+    local_placement_.set_targets(targets, now);
     tracked.request.slot.time_to_objective = time_until(tracked.objective_at, now);
     tracked.request.slot.time_to_deadline = time_until(tracked.expires_at, now);
     collect_local_replies(local_placement_.on_admission_request(tracked.request, now));
@@ -183,6 +184,9 @@
         found->second.stage = request_stage::running;
         metrics_of(found->second).wait.record(steady_clock::now() - found->second.requested_at);
         found->second.target = granted->target;
+        if (source == admission_source::leader) {
+            local_placement_.count_foreign_request(granted->target, steady_clock::now());
+        }
         if (!found->second.request.team.empty()) {
             spending_window_.record(found->second.request.team, steady_clock::now());
         }
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -54,6 +54,8 @@
       targets_gauge_(metrics.add_gauge("fleet_targets", "Targets that the leader places to")),
       refused_traits_gauge_(metrics.add_gauge(
           "fleet_refused_traits", "Traits whose requests are refused because they crash targets")),
+      limited_targets_gauge_(metrics.add_gauge("fleet_limited_targets",
+                                               "Targets that name a rate limit in their answers")),
       leaving_heard_counter_(metrics.add_counter(
           "targets_heard_leaving", "Targets that have said in an answer that they leave"))
 {
@@ -92,7 +94,7 @@
     }
 }
 
-serving::leaving_target fleet_service::identify_process(const core::target_id& target) const
+serving::target_process fleet_service::identify_process(const core::target_id& target) const
 {
     const auto found =
         std::find_if(listed_targets_.begin(), listed_targets_.end(),
@@ -100,7 +102,7 @@
     return {target, found == listed_targets_.end() ? 0 : found->started_at};
 }
 
-void fleet_service::on_target_leaving(const serving::leaving_target& target,
+void fleet_service::on_target_leaving(const serving::target_process& target,
                                       const std::string& request_id)
 {
     if (!leaving_targets_.add(target)) {
@@ -115,10 +117,10 @@
     report_triggered_ = true;
 }
 
-void fleet_service::apply_leaving(const std::vector<serving::leaving_target>& leaving)
+void fleet_service::apply_leaving(const std::vector<serving::target_process>& leaving)
 {
     bool changed = false;
-    for (const serving::leaving_target& target : leaving) {
+    for (const serving::target_process& target : leaving) {
         // An unknown process could take a later one away, whose entry comes after the report.
         const bool is_listed = identify_process(target.id) == target;
         changed = (is_listed && leaving_targets_.add(target)) || changed;
@@ -128,12 +130,54 @@
     }
 }
 
+void fleet_service::on_rate_limit(const serving::target_process& target,
+                                  const std::optional<rate_limit_statement>& statement,
+                                  core::time_point sent_at)
+{
+    if (!statement) {
+        return;
+    }
+    // A response that names no limit may have been made before one that names a limit, but not
+    // before its own request.
+    const core::time_point said_at = statement->rate ? steady_clock::now() : sent_at;
+    if (announced_limits_.hear(target, statement->rate, said_at)) {
+        log_rate_limit(target, statement->rate, "answer");
+        apply_targets(listed_targets_);
+        report_triggered_ = true;
+    }
+}
+
+void fleet_service::apply_rate_limits(const std::vector<serving::announced_limit>& heard,
+                                      core::time_point now)
+{
+    bool changed = false;
+    for (const serving::announced_limit& limit : heard) {
+        if (announced_limits_.hear(limit.process, limit.rate, now - limit.age)) {
+            log_rate_limit(limit.process, limit.rate, "report");
+            changed = true;
+        }
+    }
+    if (changed) {
+        apply_targets(listed_targets_);
+    }
+}
+
+void fleet_service::log_rate_limit(const serving::target_process& target,
+                                   const std::optional<double>& rate, const char* source) const
+{
+    logger_.write(kernel::log_level::info, rate ? "target_limited" : "target_limit_ended",
+                  {{"target", target.id.value()},
+                   {"rate", rate ? std::to_string(*rate) : std::string("none")},
+                   {"source", source}});
+}
+
 void fleet_service::apply_targets(std::vector<serving::target_entry> targets)
 {
     listed_targets_ = std::move(targets);
     leaving_targets_.learn_starts(listed_targets_);
     targets_ = leaving_targets_.remove_from(listed_targets_);
-    placement_.set_targets(targets_);
+    announced_limits_.apply_to(targets_);
+    placement_.set_targets(targets_, steady_clock::now());
     if (leadership_.leads()) {
         roster_.set_targets(targets_);
     }
@@ -351,6 +395,7 @@
     record_store_read(now - report.store_age);
     if (from != leadership_.self().id) {
         apply_leaving(report.leaving_targets_known);
+        apply_rate_limits(report.limits_heard, now);
     }
     deliver(placement_.on_run_report(from, report.runs, now));
 }
@@ -393,6 +438,7 @@
         leader_view_.apply(std::move(block));
     }
     roster_.apply_view(leader_view_, now);
+    announced_limits_.adopt(leader_view_.targets(), now);
     apply_targets(leader_view_.targets());
     report_triggered_ = true;
 }
@@ -537,6 +583,10 @@
     running_gauge_.set(static_cast<double>(slot_stats.online_running + slot_stats.batch_running));
     slots_gauge_.set(static_cast<double>(slot_stats.slots));
     targets_gauge_.set(static_cast<double>(slot_stats.targets));
+    limited_targets_gauge_.set(static_cast<double>(
+        std::count_if(targets_.begin(), targets_.end(), [](const serving::target_entry& each) {
+            return each.rate_limit.has_value();
+        })));
     refused_traits_gauge_.set(static_cast<double>(placement_.quarantine().refused_count()));
 }
 
@@ -571,6 +621,7 @@
     report.held_blocks = leader_view_.versions();
     report.crash_marks_known = crash_marks(now);
     report.leaving_targets_known = leaving_targets_.find_in(listed_targets_);
+    report.limits_heard = announced_limits_.recent(now);
     return report;
 }
 
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/peer_socket.hpp"
+#include "edge/protocol.hpp"
 #include "http/event_loop.hpp"
 #include "kernel/kernel.hpp"
 #include "serving/serving.hpp"
@@ -145,15 +146,22 @@
     }
 
     /// The process that now serves as a target, as far as the list tells.
-    serving::leaving_target identify_process(const core::target_id& target) const;
+    serving::target_process identify_process(const core::target_id& target) const;
 
     /// A target has said in its answer to a request of this instance that it leaves: it gets no new
     /// work, and the leader is told. `target`: as `identify_process` gave it when the request was
     /// sent, since a later process may have taken its place in the list by now.
-    void on_target_leaving(const serving::leaving_target& target, const std::string& request_id);
+    void on_target_leaving(const serving::target_process& target, const std::string& request_id);
+
+    /// A target has said in its answer to a request of this instance, sent at `sent_at`, how many
+    /// requests a second it takes, or that it names no limit. `target`: as in `on_target_leaving`.
+    /// Without a statement there is no effect.
+    void on_rate_limit(const serving::target_process& target,
+                       const std::optional<rate_limit_statement>& statement,
+                       core::time_point sent_at);
 
     /// Whether a process of a target has said that it leaves.
-    bool is_leaving(const serving::leaving_target& process) const
+    bool is_leaving(const serving::target_process& process) const
     {
         return leaving_targets_.contains(process);
     }
@@ -196,8 +204,12 @@
     void recover_limits(core::time_point now);
     void remove_expired_members(core::time_point now);
     void apply_targets(std::vector<serving::target_entry> targets);
-    /// Takes over what another instance has heard about listed targets.
-    void apply_leaving(const std::vector<serving::leaving_target>& leaving);
+    /// Take over what another instance has heard about targets.
+    void apply_leaving(const std::vector<serving::target_process>& leaving);
+    void apply_rate_limits(const std::vector<serving::announced_limit>& heard,
+                           core::time_point now);
+    void log_rate_limit(const serving::target_process& target, const std::optional<double>& rate,
+                        const char* source) const;
     serving::instance_report make_report(core::time_point now) const;
     serving::leader_heartbeat make_heartbeat(core::time_point now) const;
     void send_heartbeat(bool resigning, core::time_point now);
@@ -229,6 +241,7 @@
     std::vector<serving::target_entry> listed_targets_;
     std::vector<serving::target_entry> targets_;
     serving::leaving_targets leaving_targets_;
+    serving::announced_limits announced_limits_;
     std::uint64_t state_version_ = 0;
     std::optional<core::time_point> store_read_at_;
     std::optional<core::time_point> fleet_store_read_at_;
@@ -262,6 +275,7 @@
     kernel::gauge& slots_gauge_;
     kernel::gauge& targets_gauge_;
     kernel::gauge& refused_traits_gauge_;
+    kernel::gauge& limited_targets_gauge_;
     kernel::counter& leaving_heard_counter_;
 };
 
--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -135,9 +135,14 @@
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, input_.item.id);
     }
-    if (!done_ && !is_own_response(response_flags_, head.status)) {
+    if (done_) {
+        return http::flow::proceed;
+    }
+    if (!is_own_response(response_flags_, head.status)) {
         abandon(serving::slot_outcome::broken, "foreign_answer");
+        return http::flow::proceed;
     }
+    context_.fleet.on_rate_limit(target_process_, response_flags_.rate_limit, sent_at_);
     return http::flow::proceed;
 }
 
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -98,7 +98,7 @@
     std::uint64_t admission_ = 0;
     core::target_id target_;
     /// As known when the request was sent.
-    serving::leaving_target target_process_;
+    serving::target_process target_process_;
     std::string address_;
     std::shared_ptr<http::ongoing_call> call_;
     std::shared_ptr<http::scheduled_task> stall_timer_;
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -249,7 +249,9 @@
     if (!is_own_response(response_flags_, head.status)) {
         abandon_attempt(serving::slot_outcome::broken,
                         "the response is unsigned or belongs to another request");
+        return http::flow::proceed;
     }
+    context_.fleet.on_rate_limit(target_process_, response_flags_.rate_limit, sent_at_);
     return http::flow::proceed;
 }
 
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -122,7 +122,7 @@
     std::uint64_t call_generation_ = 0;
     core::target_id target_;
     /// As known when the request was sent.
-    serving::leaving_target target_process_;
+    serving::target_process target_process_;
     std::string address_;
     std::chrono::steady_clock::time_point sent_at_;
     /// Time from sending the request to the target to the first byte of its response body.
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -134,6 +134,12 @@
     std::optional<std::uint64_t> last_event;
 };
 
+/// What a target says about its rate limit in a response.
+struct rate_limit_statement {
+    /// Requests a second that it takes from all instances together; unset if it names no limit.
+    std::optional<double> rate;
+};
+
 /// What the headers of a target's response say in addition to its status.
 struct target_response_flags {
     /// The response belongs to this request.
@@ -145,6 +151,9 @@
     bool signed_by_target = false;
     /// The target says that it leaves. Only set in a response that names this request.
     bool target_leaves = false;
+    /// What the target says about its rate limit. Unset in a response that doesn't name this
+    /// request, or whose limit can't be read.
+    std::optional<rate_limit_statement> rate_limit;
 };
 
 /// Translates between the wire protocols of callers and targets and the types of this system.
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -21,6 +21,19 @@
     return static_cast<std::int32_t>(std::clamp<std::int64_t>(value.count(), -limit, limit));
 }
 
+/// Stands for a target without a rate limit.
+constexpr double no_rate_limit = -1;
+
+double to_wire(const std::optional<double>& rate)
+{
+    return rate.value_or(no_rate_limit);
+}
+
+std::optional<double> read_rate(double value)
+{
+    return value >= 0 ? std::optional(value) : std::nullopt;
+}
+
 std::string text(capnp::Text::Reader value)
 {
     return {value.begin(), value.size()};
@@ -198,6 +211,7 @@
     out.setDataCentre(in.data_centre.value());
     out.setSlots(in.slots);
     out.setStartedAt(in.started_at);
+    out.setRateLimit(to_wire(in.rate_limit));
 }
 
 serving::target_entry read(schema::Target::Reader in)
@@ -209,6 +223,7 @@
     out.data_centre = core::data_centre_id(text(in.getDataCentre()));
     out.slots = in.getSlots();
     out.started_at = in.getStartedAt();
+    out.rate_limit = read_rate(in.getRateLimit());
     return out;
 }
 
@@ -263,17 +278,32 @@
     return out;
 }
 
-void write(schema::LeavingTarget::Builder out, const serving::leaving_target& in)
+void write(schema::LeavingTarget::Builder out, const serving::target_process& in)
 {
     out.setId(in.id.value());
     out.setStartedAt(in.started_at);
 }
 
-serving::leaving_target read(schema::LeavingTarget::Reader in)
+serving::target_process read(schema::LeavingTarget::Reader in)
 {
     return {core::target_id(text(in.getId())), in.getStartedAt()};
 }
 
+void write(schema::AnnouncedLimit::Builder out, const serving::announced_limit& in)
+{
+    out.setId(in.process.id.value());
+    out.setStartedAt(in.process.started_at);
+    out.setRate(to_wire(in.rate));
+    out.setAgeMs(to_wire(in.age));
+}
+
+serving::announced_limit read(schema::AnnouncedLimit::Reader in)
+{
+    return {{core::target_id(text(in.getId())), in.getStartedAt()},
+            read_rate(in.getRate()),
+            std::max(milliseconds(in.getAgeMs()), milliseconds(0))};
+}
+
 template <class List, class Entry>
 void write_entries(List out, const std::vector<Entry>& in)
 {
@@ -354,6 +384,8 @@
                   in.crash_marks_known);
     write_entries(out.initLeavingTargets(static_cast<unsigned>(in.leaving_targets_known.size())),
                   in.leaving_targets_known);
+    write_entries(out.initLimitsHeard(static_cast<unsigned>(in.limits_heard.size())),
+                  in.limits_heard);
 }
 
 serving::instance_report read(schema::Report::Reader in)
@@ -380,6 +412,7 @@
     }
     out.crash_marks_known = read_entries(in.getCrashMarks());
     out.leaving_targets_known = read_entries(in.getLeavingTargets());
+    out.limits_heard = read_entries(in.getLimitsHeard());
     return out;
 }
 
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -21,6 +21,8 @@
   dataCentre @3 :Text;
   slots @4 :UInt32;
   startedAt @5 :Int64;
+  # Requests a second that it takes from all instances together; negative if it names no limit.
+  rateLimit @6 :Float64 = -1;
 }
 
 # Admission request: asks the leader for a slot.
@@ -85,6 +87,17 @@
   startedAt @1 :Int64;
 }
 
+# What a target has said about its limit in an answer.
+struct AnnouncedLimit {
+  id @0 :Text;
+  # As in Target; 0 if unknown.
+  startedAt @1 :Int64;
+  # As in Target.
+  rate @2 :Float64 = -1;
+  # Time since it said so.
+  ageMs @3 :Int32;
+}
+
 # Property of a request that may crash targets.
 struct Trait {
   # 0: the whole request, 1: a part of its prompt.
@@ -147,6 +160,8 @@
   crashMarks @10 :List(CrashMark);
   # Targets that have said in an answer that they leave.
   leavingTargets @11 :List(LeavingTarget);
+  # Limits, or their ends, that the instance has heard lately.
+  limitsHeard @12 :List(AnnouncedLimit);
 }
 
 # Part of the leader's view of the fleet.
--- a/src/serving/fleet_placement.cpp
+++ b/src/serving/fleet_placement.cpp
@@ -48,14 +48,14 @@
     limits_.set(limits, now);
 }
 
-void fleet_placement::set_targets(const std::vector<target_entry>& targets)
+void fleet_placement::set_targets(const std::vector<target_entry>& targets, core::time_point now)
 {
-    scheduler_.set_targets(targets);
+    scheduler_.set_targets(targets, now);
 }
 
 void fleet_placement::begin_term(const limit_tolerance& tolerance, core::time_point now)
 {
-    scheduler_.clear_requests();
+    scheduler_.clear_requests(now);
     limits_.begin_term(tolerance, now);
     admission_records_.clear();
     admission_order_.clear();
--- a/src/serving/fleet_placement.hpp
+++ b/src/serving/fleet_placement.hpp
@@ -30,7 +30,16 @@
     void apply_state(const desired_state& state, core::time_point now);
 
     /// Replaces the targets.
-    void set_targets(const std::vector<target_entry>& targets);
+    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+
+    /// Sets the fraction of the targets' rate limits that may be used here.
+    void set_rate_share(double share) { scheduler_.set_rate_share(share); }
+
+    /// Counts a request that another instance has placed at a target.
+    void count_foreign_request(const core::target_id& target, core::time_point now)
+    {
+        scheduler_.count_foreign_request(target, now);
+    }
 
     /// Starts to place requests for other instances: drops all runs and recorded admissions, and
     /// resets the limits as in `team_limits::begin_term`.
--- a/src/serving/leaving_targets.cpp
+++ b/src/serving/leaving_targets.cpp
@@ -5,7 +5,7 @@
 
 namespace gooseberryfall::serving {
 
-bool leaving_targets::add(const leaving_target& target)
+bool leaving_targets::add(const target_process& target)
 {
     const auto known = targets_.find(target.id);
     if (known != targets_.end()) {
@@ -26,11 +26,11 @@
     return true;
 }
 
-bool leaving_targets::contains(const leaving_target& process) const
+bool leaving_targets::contains(const target_process& process) const
 {
     const auto known = targets_.find(process.id);
     return known != targets_.end() &&
-           leaving_target{known->first, known->second.started_at}.matches(process);
+           target_process{known->first, known->second.started_at}.matches(process);
 }
 
 void leaving_targets::learn_starts(const std::vector<target_entry>& listed)
@@ -54,11 +54,11 @@
     return result;
 }
 
-std::vector<leaving_target> leaving_targets::find_in(const std::vector<target_entry>& entries) const
+std::vector<target_process> leaving_targets::find_in(const std::vector<target_entry>& entries) const
 {
-    std::vector<leaving_target> result;
+    std::vector<target_process> result;
     for (const target_entry& each : entries) {
-        const leaving_target process{each.id, each.started_at};
+        const target_process process{each.id, each.started_at};
         if (contains(process)) {
             result.push_back(process);
         }
--- a/src/serving/leaving_targets.hpp
+++ b/src/serving/leaving_targets.hpp
@@ -9,22 +9,6 @@
 
 namespace gooseberryfall::serving {
 
-/// A process of a target that has said in an answer that it leaves.
-struct leaving_target {
-    core::target_id id;
-    /// As in `target_entry`; 0 if unknown, which stands for any process with the id.
-    std::int64_t started_at = 0;
-
-    /// Whether both may be the same process.
-    bool matches(const leaving_target& other) const
-    {
-        return id == other.id &&
-               (started_at == 0 || other.started_at == 0 || started_at == other.started_at);
-    }
-
-    bool operator==(const leaving_target&) const = default;
-};
-
 /// Settings of `leaving_targets`.
 struct leaving_settings {
     /// Maximum number of targets. The one heard of the longest ago gives way.
@@ -42,10 +26,10 @@
     explicit leaving_targets(leaving_settings settings = {}) : settings_(settings) {}
 
     /// The target has said that it leaves. Returns whether that is new.
-    bool add(const leaving_target& target);
+    bool add(const target_process& target);
 
     /// Whether the process leaves.
-    bool contains(const leaving_target& process) const;
+    bool contains(const target_process& process) const;
 
     /// Fills in unknown starts from the list. To be called with each new list.
     void learn_starts(const std::vector<target_entry>& listed);
@@ -54,7 +38,7 @@
     std::vector<target_entry> remove_from(const std::vector<target_entry>& entries) const;
 
     /// The processes that leave although the entries show them.
-    std::vector<leaving_target> find_in(const std::vector<target_entry>& entries) const;
+    std::vector<target_process> find_in(const std::vector<target_entry>& entries) const;
 
     std::size_t size() const { return targets_.size(); }
 
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/announced_limits.hpp"
 #include "serving/crash_quarantine.hpp"
 #include "serving/fleet_view.hpp"
 #include "serving/leadership.hpp"
@@ -101,7 +102,9 @@
     /// What it knows about requests that crash targets.
     crash_marks crash_marks_known;
     /// Targets that have told it that they leave.
-    std::vector<leaving_target> leaving_targets_known;
+    std::vector<target_process> leaving_targets_known;
+    /// Limits, or their ends, that targets have told it lately.
+    std::vector<announced_limit> limits_heard;
 };
 
 /// Heartbeat of the leader, sent to all instances.
--- a/src/serving/retry_planner.cpp
+++ b/src/serving/retry_planner.cpp
@@ -22,8 +22,10 @@
 milliseconds retry_planner::next_delay(core::time_point now, core::duration slot_interval,
                                        milliseconds delay_max)
 {
-    const core::time_point earliest = now + delay_min;
-    const core::time_point latest = now + std::max(delay_max, delay_min);
+    const core::duration longest = std::max(delay_max, delay_min);
+    const core::time_point earliest =
+        now + std::clamp<core::duration>(slot_interval, delay_min, longest);
+    const core::time_point latest = now + longest;
     const core::time_point scheduled = std::max(earliest, next_retry_);
     if (scheduled <= latest) {
         next_retry_ = scheduled + slot_interval * slots_per_retry;
@@ -31,7 +33,7 @@
     }
     spread_position_ = (spread_position_ + spread_stride) % spread_steps;
     const core::duration span = latest - earliest;
-    return std::chrono::ceil<milliseconds>(delay_min + span * spread_position_ / spread_steps);
+    return std::chrono::ceil<milliseconds>(earliest - now + span * spread_position_ / spread_steps);
 }
 
 } // namespace gooseberryfall::serving
--- a/src/serving/serving.hpp
+++ b/src/serving/serving.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/announced_limits.hpp"
 #include "serving/crash_quarantine.hpp"
 #include "serving/deadline_planner.hpp"
 #include "serving/desired_state.hpp"
@@ -23,4 +24,5 @@
 #include "serving/store_route.hpp"
 #include "serving/target_directory.hpp"
 #include "serving/target_health.hpp"
+#include "serving/target_rate.hpp"
 #include "serving/team_limits.hpp"
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "serving/deadline_planner.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -22,6 +23,12 @@
 /// Load that is accepted for an idle connection: four of the usual eight slots, because a new
 /// connection costs a round trip before the request is sent.
 constexpr double connection_bonus = 0.5;
+/// Load of a target that names a rate limit: that of a full one, so that the others are used first.
+constexpr double rate_limit_cost = 1.0;
+/// Least number of usable slots for the interval at which slots become free.
+constexpr double usable_slots_min = 0.1;
+/// Duration of an online request, until it has been measured.
+constexpr double default_online_ms = 1000;
 /// Lower bound of a run's expected remaining time, however long it has lasted.
 constexpr milliseconds remaining_min{20};
 /// Callers observe a retry delay of at most the time to their deadline divided by this.
@@ -40,6 +47,12 @@
     average = average == 0 ? sample : average * average_decay + sample * (1 - average_decay);
 }
 
+/// Whether a request may use a target's rate limit.
+bool may_use(const target_rate& rate, rate_use use, core::time_point now)
+{
+    return use == rate_use::all ? rate.allows(now) : rate.has_surplus(now);
+}
+
 bool contains(const std::vector<core::target_id>& list, const core::target_id& id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
@@ -55,11 +68,10 @@
 bool slot_scheduler::can_place(const slot_request& request, core::time_point now)
 {
     service_pool& pool = pool_for(request.service);
-    return pool.online.empty() && (choose_target(pool, request, now) != nullptr ||
-                                   choose_victim(pool, request, now).has_value());
+    return pool.online.empty() && choose_placement(pool, request, now).target != nullptr;
 }
 
-void slot_scheduler::set_targets(const std::vector<target_entry>& targets)
+void slot_scheduler::set_targets(const std::vector<target_entry>& targets, core::time_point now)
 {
     targets_known_ = true;
     std::map<core::service_id, std::set<core::target_id>> present;
@@ -73,8 +85,10 @@
         if (added || restarted) {
             state.health = target_health(settings_.health);
             state.prefixes.clear();
+            state.rate = target_rate();
         }
         state.entry = entry;
+        state.rate.set(entry.rate_limit, rate_share_, now);
         if (added) {
             state.running = 0;
             for (const auto& [key, existing] : runs_) {
@@ -86,6 +100,9 @@
         const auto& retained = present[service];
         std::erase_if(pool.targets,
                       [&](const auto& entry) { return !retained.contains(entry.first); });
+        pool.has_rate_limits =
+            std::any_of(pool.targets.begin(), pool.targets.end(),
+                        [](const auto& entry) { return entry.second.rate.is_limited(); });
     }
 }
 
@@ -142,24 +159,48 @@
 std::uint32_t slot_scheduler::free_slots(const service_pool& pool, const target_state& target,
                                          core::time_point now) const
 {
-    if (!usable(pool, target, now)) {
+    if (!usable(pool, target, now) || !target.rate.allows(now)) {
         return 0;
     }
     const std::uint32_t slots = target.health.on_probation() ? 1 : target.entry.slots;
     return slots > target.running ? slots - target.running : 0;
 }
 
-std::size_t slot_scheduler::usable_slots(const service_pool& pool, core::time_point now) const
+double slot_scheduler::mean_online_seconds(const service_pool& pool) const
+{
+    return (pool.online_duration == 0 ? default_online_ms : pool.online_duration) / 1000;
+}
+
+double slot_scheduler::usable_slots(const service_pool& pool, core::time_point now) const
 {
-    std::size_t total = 0;
+    double total = 0;
     for (const auto& [id, target] : pool.targets) {
-        total += usable(pool, target, now) ? target.entry.slots : 0;
+        total += usable(pool, target, now) ? busy_slots_max(pool, target) : 0;
     }
     return total;
 }
 
-slot_scheduler::target_state*
-slot_scheduler::choose_target(service_pool& pool, const slot_request& request, core::time_point now)
+double slot_scheduler::busy_slots_max(const service_pool& pool, const target_state& target) const
+{
+    const double slots = target.entry.slots;
+    return target.rate.is_limited()
+               ? std::min(slots, target.rate.rate() * mean_online_seconds(pool))
+               : slots;
+}
+
+void slot_scheduler::count_foreign_request(const core::target_id& target, core::time_point now)
+{
+    for (auto& [service, pool] : pools_) {
+        const auto found = pool.targets.find(target);
+        if (found != pool.targets.end()) {
+            found->second.rate.take(now);
+        }
+    }
+}
+
+slot_scheduler::target_state* slot_scheduler::choose_target(service_pool& pool,
+                                                            const slot_request& request,
+                                                            core::time_point now, rate_use use)
 {
     const double usual_token_time =
         pool.token_time == 0 ? settings_.default_token_time : pool.token_time;
@@ -168,13 +209,15 @@
     target_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (auto& [id, target] : pool.targets) {
-        if (contains(request.excluded, id) || free_slots(pool, target, now) == 0) {
+        if (contains(request.excluded, id) || free_slots(pool, target, now) == 0 ||
+            !may_use(target.rate, use, now)) {
             continue;
         }
         double cost = static_cast<double>(target.running) / target.entry.slots;
         const bool slow = target.health.token_time() > settings_.slow_factor * usual_token_time;
         // The cost of a fully loaded target, so that slow targets come after all others.
         cost += slow ? 1.0 : 0.0;
+        cost += target.rate.is_limited() ? rate_limit_cost : 0.0;
         for (const std::uint64_t prefix : request.prefixes) {
             cost -= target.prefixes.contains(prefix) ? prefix_bonus : 0;
         }
@@ -191,7 +234,7 @@
 
 std::optional<run_key> slot_scheduler::choose_victim(const service_pool& pool,
                                                      const slot_request& request,
-                                                     core::time_point now) const
+                                                     core::time_point now, rate_use use) const
 {
     std::optional<run_key> victim;
     // Runs that cannot meet their due time have lost most of their value and are preempted first,
@@ -205,9 +248,9 @@
             continue;
         }
         const auto target = pool.targets.find(run.target);
-        const bool reachable = target != pool.targets.end() &&
-                               target->second.health.available(now) &&
-                               !target->second.health.on_probation();
+        const bool reachable =
+            target != pool.targets.end() && target->second.health.available(now) &&
+            !target->second.health.on_probation() && may_use(target->second.rate, use, now);
         const core::duration slack_left = slack(pool, run, now);
         const bool late = run.deferred || slack_left < core::duration::zero();
         if (!reachable || (!late && slack_left < settings_.preemption_margin)) {
@@ -236,6 +279,7 @@
     run.due_at = due_at;
     runs_[request.key] = run;
     ++target.running;
+    target.rate.take(now);
     for (const std::uint64_t prefix : request.prefixes) {
         target.prefixes.use(prefix);
     }
@@ -246,38 +290,58 @@
 void slot_scheduler::reject(service_pool& pool, const slot_request& request, core::time_point now,
                             slot_rejection_reason reason, slot_decisions& out)
 {
-    const double duration = pool.online_duration == 0 ? 1000.0 : pool.online_duration;
-    const auto slots = static_cast<double>(std::max<std::size_t>(1, usable_slots(pool, now)));
-    const milliseconds delay =
-        pool.retries.next_delay(now, from_milliseconds(duration / slots), retry_delay_max(request));
+    const double slots = std::max(usable_slots_min, usable_slots(pool, now));
+    const core::duration interval = from_milliseconds(mean_online_seconds(pool) * 1000 / slots);
+    const milliseconds delay = pool.retries.next_delay(now, interval, retry_delay_max(request));
     out.emplace_back(slot_rejection{request.key, reason, delay});
 }
 
+slot_scheduler::placement slot_scheduler::choose_placement(service_pool& pool,
+                                                           const slot_request& request,
+                                                           core::time_point now)
+{
+    const bool online = request.kind == work_kind::online;
+    for (const rate_use use : {rate_use::surplus, rate_use::all}) {
+        if (use == rate_use::all && !pool.has_rate_limits) {
+            break;
+        }
+        if (target_state* target = choose_target(pool, request, now, use)) {
+            return {target, std::nullopt};
+        }
+        if (!online) {
+            continue;
+        }
+        if (const auto victim = choose_victim(pool, request, now, use)) {
+            return {&pool.targets.at(runs_.at(*victim).target), victim};
+        }
+    }
+    return {};
+}
+
 bool slot_scheduler::try_place(service_pool& pool, const slot_request& request,
                                core::time_point now, slot_decisions& out)
 {
-    const core::time_point deadline = now + request.time_to_deadline;
-    if (target_state* target = choose_target(pool, request, now)) {
-        grant(*target, request, deadline, now, out);
-        return true;
-    }
-    if (request.kind != work_kind::online) {
+    const placement chosen = choose_placement(pool, request, now);
+    if (chosen.target == nullptr) {
         return false;
     }
-    const std::optional<run_key> victim = choose_victim(pool, request, now);
-    if (!victim) {
-        return false;
+    if (chosen.victim) {
+        preempt(pool, *chosen.victim, now, out);
     }
-    active_run& victim_run = runs_.at(*victim);
-    victim_run.preempted = true;
-    if (now < victim_run.granted_at + expected_first_event_delay(pool)) {
+    grant(*chosen.target, request, now + request.time_to_deadline, now, out);
+    return true;
+}
+
+void slot_scheduler::preempt(service_pool& pool, const run_key& victim, core::time_point now,
+                             slot_decisions& out)
+{
+    active_run& run = runs_.at(victim);
+    run.preempted = true;
+    if (now < run.granted_at + expected_first_event_delay(pool)) {
         pool.early_preemptions.push_back(now);
     }
-    target_state& target = pool.targets.at(victim_run.target);
-    --target.running;
-    out.emplace_back(slot_preemption{*victim});
-    grant(target, request, deadline, now, out);
-    return true;
+    --pool.targets.at(run.target).running;
+    out.emplace_back(slot_preemption{victim});
 }
 
 core::time_point slot_scheduler::last_start(const service_pool& pool,
@@ -287,36 +351,51 @@
                                    : queued.objective_at - expected_first_event_delay(pool);
 }
 
-std::vector<core::duration> slot_scheduler::remaining_run_times(const service_pool& pool,
-                                                                const core::service_id& service,
-                                                                core::time_point now) const
+std::vector<core::duration> slot_scheduler::slot_waits(const service_pool& pool,
+                                                       const core::service_id& service,
+                                                       core::time_point now) const
 {
-    std::vector<core::duration> run_times;
+    std::vector<core::duration> waits;
+    std::map<core::target_id, std::vector<core::duration>> limited_runs;
     for (const auto& [key, run] : runs_) {
         if (run.service != service || run.preempted) {
             continue;
         }
         const auto target = pool.targets.find(run.target);
-        if (target != pool.targets.end() && usable(pool, target->second, now)) {
-            run_times.push_back(remaining(pool, run, now));
+        if (target == pool.targets.end() || !usable(pool, target->second, now)) {
+            continue;
+        }
+        const bool limited = target->second.rate.is_limited();
+        (limited ? limited_runs[run.target] : waits).push_back(remaining(pool, run, now));
+    }
+    for (const auto& [id, target] : pool.targets) {
+        if (!target.rate.is_limited() || !usable(pool, target, now)) {
+            continue;
+        }
+        // Each slot waits for its run to end, if it has one, and for the rate to allow a request.
+        std::vector<core::duration> runs = std::move(limited_runs[id]);
+        runs.resize(std::max<std::size_t>(runs.size(), target.entry.slots));
+        std::sort(runs.begin(), runs.end());
+        for (std::size_t index = 0; index < runs.size(); ++index) {
+            waits.push_back(std::max(runs[index], target.rate.next_at(index, now) - now));
         }
     }
-    std::sort(run_times.begin(), run_times.end());
-    return run_times;
+    std::sort(waits.begin(), waits.end());
+    return waits;
 }
 
 core::duration slot_scheduler::predicted_wait(const service_pool& pool,
-                                              const std::vector<core::duration>& run_times,
+                                              const std::vector<core::duration>& waits,
                                               std::size_t ahead) const
 {
-    if (run_times.empty()) {
+    if (waits.empty()) {
         return core::duration::max() / 4;
     }
-    if (ahead >= run_times.size()) {
-        const auto queue_rounds = static_cast<std::int64_t>(ahead / run_times.size());
-        return expected_duration(pool, 0) * queue_rounds + run_times.back();
+    if (ahead >= waits.size()) {
+        const auto queue_rounds = static_cast<std::int64_t>(ahead / waits.size());
+        return expected_duration(pool, 0) * queue_rounds + waits.back();
     }
-    return run_times[ahead];
+    return waits[ahead];
 }
 
 slot_decisions slot_scheduler::request_slot(const slot_request& request, core::time_point now)
@@ -364,9 +443,9 @@
         return out;
     }
     const core::duration wait =
-        targets_known_ ? predicted_wait(pool, remaining_run_times(pool, request.service, now),
-                                        pool.online.size())
-                       : core::duration::zero();
+        targets_known_
+            ? predicted_wait(pool, slot_waits(pool, request.service, now), pool.online.size())
+            : core::duration::zero();
     if (now + wait > last_start(pool, queued)) {
         reject(pool, request, now, slot_rejection_reason::overloaded, out);
         return out;
@@ -532,12 +611,11 @@
     }
     std::sort(pool.online.begin(), pool.online.end(),
               [](const auto& a, const auto& b) { return a.objective_at < b.objective_at; });
-    const std::vector<core::duration> run_times = remaining_run_times(pool, service, now);
+    const std::vector<core::duration> waits = slot_waits(pool, service, now);
     std::vector<queued_request> retained;
     for (queued_request& queued : pool.online) {
-        const core::duration wait = targets_known_
-                                        ? predicted_wait(pool, run_times, retained.size())
-                                        : core::duration::zero();
+        const core::duration wait =
+            targets_known_ ? predicted_wait(pool, waits, retained.size()) : core::duration::zero();
         if (now + wait > last_start(pool, queued) || now >= queued.deadline) {
             slot_request rejected_request = queued.request;
             rejected_request.time_to_deadline =
@@ -631,7 +709,7 @@
         std::chrono::duration<double>(elapsed) / settings_.online_average_window, 0.0, 1.0);
     pool.online_slots += (static_cast<double>(online) - pool.online_slots) * weight;
     pool.planned_at = now;
-    const auto slots = static_cast<double>(usable_slots(pool, now));
+    const double slots = usable_slots(pool, now);
     const std::vector<bool> chosen = deadline_planner::select_feasible(
         tasks, std::max(slots * settings_.batch_share_min, slots - pool.online_slots), now);
     pool.overloaded = false;
@@ -673,11 +751,11 @@
                       [&key](const queued_request& entry) { return entry.request.key == key; });
         return true;
     };
-    const auto place_batch = [&](queued_request* queued) {
+    const auto place_batch = [&](queued_request* queued, rate_use use) {
         if (queued == nullptr) {
             return false;
         }
-        target_state* target = choose_target(pool, queued->request, now);
+        target_state* target = choose_target(pool, queued->request, now, use);
         if (target == nullptr) {
             return false;
         }
@@ -687,14 +765,15 @@
                       [&key](const queued_request& entry) { return entry.request.key == key; });
         return true;
     };
-    while (place_batch(next_batch(pool, now, true))) {
+    while (place_batch(next_batch(pool, now, true), rate_use::surplus)) {
     }
     while (place_online(next_online(pool, now, false))) {
     }
     if (next_online(pool, now, false) != nullptr) {
         return;
     }
-    while (has_room_for_batch(pool, now) && place_batch(next_batch(pool, now, false))) {
+    while (has_room_for_batch(pool, now) &&
+           place_batch(next_batch(pool, now, false), rate_use::surplus)) {
     }
     while (place_online(next_online(pool, now, true))) {
     }
@@ -720,7 +799,7 @@
     return out;
 }
 
-void slot_scheduler::clear_requests()
+void slot_scheduler::clear_requests(core::time_point now)
 {
     runs_.clear();
     connections_.clear();
@@ -729,6 +808,7 @@
         pool.batch.clear();
         for (auto& [id, target] : pool.targets) {
             target.running = 0;
+            target.rate.forget_history(now);
         }
     }
 }
@@ -740,9 +820,11 @@
         result.targets += pool.targets.size();
         result.online_waiting += pool.online.size();
         result.batch_waiting += pool.batch.size();
+        double slots = 0;
         for (const auto& [id, target] : pool.targets) {
-            result.slots += target.entry.slots;
+            slots += busy_slots_max(pool, target);
         }
+        result.slots += static_cast<std::size_t>(std::ceil(slots));
     }
     for (const auto& [key, entry] : runs_) {
         ++(entry.kind == work_kind::online ? result.online_running : result.batch_running);
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -5,6 +5,7 @@
 #include "serving/retry_planner.hpp"
 #include "serving/target_directory.hpp"
 #include "serving/target_health.hpp"
+#include "serving/target_rate.hpp"
 
 #include <chrono>
 #include <compare>
@@ -104,6 +105,9 @@
     std::chrono::milliseconds duration{0};
 };
 
+/// What a request may use of a target's rate limit: only what would be lost, or all that it allows.
+enum class rate_use { surplus, all };
+
 /// Settings of `slot_scheduler`.
 struct scheduler_settings {
     /// A batch run with less slack is not preempted by online requests, since it would have to be
@@ -144,6 +148,7 @@
 /// Counts for metrics and logs.
 struct scheduler_stats {
     std::size_t targets = 0;
+    /// Slots that requests can keep busy within the rate limits of their targets.
     std::size_t slots = 0;
     std::size_t online_running = 0;
     std::size_t batch_running = 0;
@@ -168,6 +173,8 @@
 ///   milliseconds only, as many slots stay reserved for online requests for a while.
 /// - An online request whose first event cannot meet the objective is rejected on arrival, with a
 ///   retry delay, while a rejection still costs its caller little.
+/// - A target that names a rate limit gets no more than that and is used after the others. What its
+///   rate allows is saved for the next step of online requests: batch items get what would be lost.
 /// Deterministic; not thread-safe.
 class slot_scheduler {
 public:
@@ -175,7 +182,14 @@
 
     /// Replaces the list of usable targets. Runs at other targets continue. Until the first call,
     /// requests are queued for as long as their deadlines allow.
-    void set_targets(const std::vector<target_entry>& targets);
+    void set_targets(const std::vector<target_entry>& targets, core::time_point now);
+
+    /// Sets the fraction of the targets' rate limits that may be used here. Takes effect with the
+    /// next list of targets.
+    void set_rate_share(double share) { rate_share_ = share; }
+
+    /// Counts a request that was placed elsewhere against its target's rate limit.
+    void count_foreign_request(const core::target_id& target, core::time_point now);
 
     /// Requests a slot. Idempotent: a repeated request gets the same grant again.
     slot_decisions request_slot(const slot_request& request, core::time_point now);
@@ -205,7 +219,7 @@
     slot_decisions tick(core::time_point now);
 
     /// Drops all runs and requests, but keeps the targets with their health and measured times.
-    void clear_requests();
+    void clear_requests(core::time_point now);
 
     /// Whether a run with this key is active.
     bool has_run(const run_key& key) const { return runs_.contains(key); }
@@ -222,6 +236,7 @@
     struct target_state {
         target_entry entry;
         target_health health;
+        target_rate rate;
         std::uint32_t running = 0;
         /// Prompt prefixes that were sent to the target last.
         recent_prefixes prefixes{cached_prefixes_max};
@@ -252,6 +267,8 @@
     /// Targets and queued requests of one service.
     struct service_pool {
         std::map<core::target_id, target_state> targets;
+        /// Whether a target names a rate limit.
+        bool has_rate_limits = false;
         std::vector<queued_request> online;
         std::vector<queued_request> batch;
         retry_planner retries;
@@ -268,6 +285,13 @@
         bool overloaded = false;
     };
 
+    /// Where a request is placed; no target if there is no slot for it.
+    struct placement {
+        target_state* target = nullptr;
+        /// Batch run that has to give up its slot.
+        std::optional<run_key> victim;
+    };
+
     service_pool& pool_for(const core::service_id& service) { return pools_[service]; }
     core::duration expected_duration(const service_pool& pool, std::uint32_t tokens) const;
     core::duration expected_first_event_delay(const service_pool& pool) const;
@@ -277,21 +301,31 @@
                          core::time_point now) const;
     core::duration slack(const service_pool& pool, const queued_request& queued,
                          core::time_point now) const;
-    std::size_t usable_slots(const service_pool& pool, core::time_point now) const;
+    /// Slots of the usable targets that requests can keep busy.
+    double usable_slots(const service_pool& pool, core::time_point now) const;
+    /// Slots of a target that requests can keep busy within its rate limit.
+    double busy_slots_max(const service_pool& pool, const target_state& target) const;
+    double mean_online_seconds(const service_pool& pool) const;
     bool usable(const service_pool& pool, const target_state& target, core::time_point now) const;
     std::uint32_t free_slots(const service_pool& pool, const target_state& target,
                              core::time_point now) const;
     target_state* choose_target(service_pool& pool, const slot_request& request,
-                                core::time_point now);
+                                core::time_point now, rate_use use);
     std::optional<run_key> choose_victim(const service_pool& pool, const slot_request& request,
-                                         core::time_point now) const;
-    /// Expected remaining times of the runs of a service, shortest first.
-    std::vector<core::duration> remaining_run_times(const service_pool& pool,
-                                                    const core::service_id& service,
-                                                    core::time_point now) const;
+                                         core::time_point now, rate_use use) const;
+    /// Chooses a free slot, or for an online request the slot of a batch run. What a rate limit
+    /// allows beyond its surplus is used last, since batch runs that have yielded can go on later.
+    placement choose_placement(service_pool& pool, const slot_request& request,
+                               core::time_point now);
+    void preempt(service_pool& pool, const run_key& victim, core::time_point now,
+                 slot_decisions& out);
+    /// Expected times until the slots of a service can take their next request, shortest first.
+    std::vector<core::duration> slot_waits(const service_pool& pool,
+                                           const core::service_id& service,
+                                           core::time_point now) const;
     /// Expected time until a slot is free for a request with `ahead` requests before it.
     core::duration predicted_wait(const service_pool& pool,
-                                  const std::vector<core::duration>& run_times,
+                                  const std::vector<core::duration>& waits,
                                   std::size_t ahead) const;
     bool try_place(service_pool& pool, const slot_request& request, core::time_point now,
                    slot_decisions& out);
@@ -318,6 +352,7 @@
 
     scheduler_settings settings_;
     bool targets_known_ = false;
+    double rate_share_ = 1.0;
     std::map<core::service_id, service_pool> pools_;
     std::map<run_key, active_run> runs_;
     idle_connections connections_;
--- a/src/serving/target_directory.hpp
+++ b/src/serving/target_directory.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,10 +25,29 @@
     /// Wall-clock milliseconds of its start. The same id with another start time is a new process
     /// without any state of the previous one.
     std::int64_t started_at = 0;
+    /// Requests a second that it takes from all instances together, as it has named in its answers;
+    /// the registry doesn't tell. Unset if it names no limit.
+    std::optional<double> rate_limit;
 
     bool operator==(const target_entry&) const = default;
 };
 
+/// A process of a target.
+struct target_process {
+    core::target_id id;
+    /// As in `target_entry`; 0 if unknown, which stands for any process with the id.
+    std::int64_t started_at = 0;
+
+    /// Whether both may be the same process.
+    bool matches(const target_process& other) const
+    {
+        return id == other.id &&
+               (started_at == 0 || other.started_at == 0 || started_at == other.started_at);
+    }
+
+    bool operator==(const target_process&) const = default;
+};
+
 /// Registered targets, with a grace time for entries that may have expired because the registry was
 /// unavailable. Deterministic; not thread-safe.
 class target_directory {
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -78,9 +78,7 @@
     const bool down = std::chrono::steady_clock::now() < down_until_;
     if (rejects_requests_ || down || running_count_ >= options_.slots) {
         http::header_fields refusal{{names::not_run, "1"}, {names::request_id, run_id}};
-        if (leaving_) {
-            refusal.set(names::leaving, "1");
-        }
+        add_announcements(refusal);
         caller->send({503, refusal, {}});
         return;
     }
@@ -112,9 +110,7 @@
     const std::string response_request_id = mismatches_request_ids_ ? "another" : run_id;
     http::header_fields headers{{names::request_id, response_request_id},
                                 {names::signature, "s-" + run_id}};
-    if (leaving_) {
-        headers.set(names::leaving, "1");
-    }
+    add_announcements(headers);
     if (forced_status_ != 0) {
         caller->send({forced_status_, headers, "failed"});
         return;
@@ -138,6 +134,28 @@
     send_next_event(started);
 }
 
+void model_engine::add_announcements(http::header_fields& headers) const
+{
+    if (leaving_) {
+        headers.set(names::leaving, "1");
+    }
+    if (rate_limit_) {
+        headers.set(names::rate_limit, *rate_limit_);
+    }
+}
+
+void model_engine::name_rate_limit(std::optional<double> rate)
+{
+    const std::lock_guard lock(mutex_);
+    rate_limit_ = rate ? std::optional(std::to_string(*rate)) : std::nullopt;
+}
+
+void model_engine::name_rate_limit_as(const std::string& text)
+{
+    const std::lock_guard lock(mutex_);
+    rate_limit_ = text;
+}
+
 void model_engine::set_leaving(bool leaving)
 {
     const std::lock_guard lock(mutex_);
--- a/stand_ins/model_engine.hpp
+++ b/stand_ins/model_engine.hpp
@@ -74,6 +74,10 @@
     /// Becomes a new process, which does not leave, with the same id and address. Runs in progress
     /// go on. Returns the start of the new process for `target_entry`.
     std::int64_t replace_process();
+    /// Names this number of requests a second as its limit in all answers; unset: none.
+    void name_rate_limit(std::optional<double> rate);
+    /// Names a limit in all answers by this text, which need not be a number.
+    void name_rate_limit_as(const std::string& text);
     /// Responds with the id of another request.
     void mismatch_request_ids(bool mismatches) { mismatches_request_ids_ = mismatches; }
 
@@ -103,6 +107,8 @@
 private:
     struct stream;
 
+    /// Adds what the engine says of itself in all answers. Precondition: `mutex_` is held.
+    void add_announcements(http::header_fields& headers) const;
     void handle(const http::request& received, const std::shared_ptr<http::responder>& caller);
     void send_next_event(const std::shared_ptr<stream>& active);
     void end_stream(const std::shared_ptr<stream>& active);
@@ -118,6 +124,7 @@
     std::atomic<bool> mismatches_request_ids_{false};
     mutable std::mutex mutex_;
     bool leaving_ = false;
+    std::optional<std::string> rate_limit_;
     std::int64_t process_started_at_ = first_start;
     std::vector<engine_run> runs_;
     std::size_t running_count_ = 0;
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -89,6 +89,14 @@
     leaving_report.leaving_targets_known = {{core::target_id("t"), 12}};
     cr_assert(round_trip(leaving_report).leaving_targets_known ==
               leaving_report.leaving_targets_known);
+    serving::instance_report limit_report;
+    limit_report.limits_heard = {{{core::target_id("t"), 12}, 2.8, milliseconds(5)},
+                                 {{core::target_id("u"), 13}, std::nullopt, milliseconds(0)}};
+    const auto limits = round_trip(limit_report).limits_heard;
+    cr_assert_eq(limits.size(), 2U);
+    cr_assert(limits[0].process == limit_report.limits_heard[0].process);
+    cr_assert(limits[0].rate == 2.8 && limits[0].age == milliseconds(5));
+    cr_assert(!limits[1].rate);
     cr_assert(decoded_heartbeat.crash_marks_known == heartbeat.crash_marks_known);
 
     serving::leader_query query;
--- a/tests/serving/connection_reuse_test.cpp
+++ b/tests/serving/connection_reuse_test.cpp
@@ -54,7 +54,7 @@
         entries[number].data_centre = core::data_centre_id("dc" + std::to_string(number % 5));
         entries[number].slots = slots;
     }
-    scheduler.set_targets(entries);
+    scheduler.set_targets(entries, start);
     std::priority_queue<running, std::vector<running>, std::greater<>> runs;
     std::map<std::pair<std::size_t, core::target_id>, std::vector<core::time_point>> idle;
     reuse_result result;
--- a/tests/serving/crash_quarantine_test.cpp
+++ b/tests/serving/crash_quarantine_test.cpp
@@ -214,7 +214,7 @@
     target.service = core::service_id("lm");
     target.address = "10.0.0.1:80";
     target.slots = 1;
-    placement.set_targets({target});
+    placement.set_targets({target}, now);
     const core::instance_id instance("10.1.0.1:7180");
     const auto ask = [&](std::uint64_t number, std::uint64_t part) {
         serving::admission_request admission;
--- a/tests/serving/crash_simulation.hpp
+++ b/tests/serving/crash_simulation.hpp
@@ -156,7 +156,7 @@
             entry.started_at = each.life;
             entries.push_back(entry);
         }
-        placement_->set_targets(entries);
+        placement_->set_targets(entries, now_);
     }
 
     void ask(std::size_t index, const std::vector<core::target_id>& excluded)
--- a/tests/serving/leaving_targets_test.cpp
+++ b/tests/serving/leaving_targets_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-serving::leaving_target process(const std::string& id, std::int64_t started_at)
+serving::target_process process(const std::string& id, std::int64_t started_at)
 {
     return {core::target_id(id), started_at};
 }
--- a/tests/serving/load_replay_test.cpp
+++ b/tests/serving/load_replay_test.cpp
@@ -104,7 +104,7 @@
             entry.slots = 8;
             entries.push_back(entry);
         }
-        scheduler_.set_targets(entries);
+        scheduler_.set_targets(entries, core::time_point());
     }
 
     replay_result run(seconds length)
--- a/tests/serving/slot_scheduler_test.cpp
+++ b/tests/serving/slot_scheduler_test.cpp
@@ -93,7 +93,7 @@
 Test(slot_scheduler, repeated_request_gets_same_grant)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1"), make_target("2")});
+    scheduler.set_targets({make_target("1"), make_target("2")}, start);
     const auto first = grants(scheduler.request_slot(online_request(1), start));
     const auto repeated =
         grants(scheduler.request_slot(online_request(1), start + milliseconds(40)));
@@ -108,7 +108,7 @@
 Test(slot_scheduler, online_request_preempts_batch_run_with_most_remaining_work)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1"), make_target("2")});
+    scheduler.set_targets({make_target("1"), make_target("2")}, start);
     serving::slot_request short_batch = batch_request(1, seconds(18));
     short_batch.tokens = 100;
     scheduler.request_slot(short_batch, start);
@@ -124,7 +124,7 @@
 Test(slot_scheduler, batch_run_near_due_time_is_not_preempted)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     // About 4 s of work, due in 5 s.
     scheduler.request_slot(batch_request(1, seconds(5)), start);
     const auto decisions = scheduler.request_slot(online_request(2), start);
@@ -136,7 +136,7 @@
 Test(slot_scheduler, urgent_batch_item_precedes_queued_online_request)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.request_slot(online_request(1), start);
     // About 4 s of work: half a second of slack when the slot becomes free.
     cr_assert(grants(scheduler.request_slot(batch_request(2, milliseconds(5500)), start)).empty());
@@ -152,7 +152,7 @@
 Test(slot_scheduler, rejects_on_arrival_requests_that_cannot_be_on_time)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.request_slot(online_request(1), start);
     const auto rejected = rejections(scheduler.request_slot(online_request(2), start));
     cr_assert_eq(rejected.size(), 1U);
@@ -165,7 +165,7 @@
 Test(slot_scheduler, retry_precedes_new_requests)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.request_slot(online_request(1), start);
     const core::time_point later = start + milliseconds(700);
     cr_assert(rejections(scheduler.request_slot(online_request(2), later)).empty());
@@ -181,7 +181,7 @@
 Test(slot_scheduler, releases_slots_of_unreported_runs)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.request_slot(online_request(1), start);
     const core::time_point soon = start + milliseconds(100);
     scheduler.reconcile(core::instance_id("a"), {}, soon);
@@ -196,7 +196,7 @@
 Test(slot_scheduler, adds_unknown_runs_from_reports)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.reconcile(core::instance_id("b"),
                         {{7, core::target_id("1"), work_kind::online, false}}, start);
     cr_assert(grants(scheduler.request_slot(online_request(1), start)).empty());
@@ -206,7 +206,7 @@
 Test(slot_scheduler, pauses_unreachable_target)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1", 4), make_target("2", 4)});
+    scheduler.set_targets({make_target("1", 4), make_target("2", 4)}, start);
     const auto first = grants(scheduler.request_slot(online_request(1), start));
     scheduler.release_slot(make_result(1, serving::slot_outcome::unreachable), start);
     for (std::uint64_t number = 2; number < 6; ++number) {
@@ -222,7 +222,7 @@
 Test(slot_scheduler, runs_cut_at_once_count_as_one_failure)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1", 8), make_target("2", 8)});
+    scheduler.set_targets({make_target("1", 8), make_target("2", 8)}, start);
     for (std::uint64_t number = 1; number <= 16; ++number) {
         cr_assert_eq(grants(scheduler.request_slot(online_request(number), start)).size(), 1U);
     }
@@ -248,7 +248,7 @@
 Test(slot_scheduler, pauses_a_target_that_breaks_runs_again_and_again)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1", 2)});
+    scheduler.set_targets({make_target("1", 2)}, start);
     core::time_point now = start;
     for (std::uint64_t number = 1; number <= 4; ++number) {
         scheduler.request_slot(online_request(number), now);
@@ -265,7 +265,7 @@
 Test(slot_scheduler, pauses_only_a_fraction_of_targets_for_failure_rate)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1", 8), make_target("2", 8), make_target("3", 8)});
+    scheduler.set_targets({make_target("1", 8), make_target("2", 8), make_target("3", 8)}, start);
     core::time_point now = start;
     for (std::uint64_t number = 1; number < 60; ++number) {
         now += milliseconds(50);
@@ -280,12 +280,12 @@
 Test(slot_scheduler, restarted_target_has_fresh_health)
 {
     slot_scheduler scheduler;
-    scheduler.set_targets({make_target("1")});
+    scheduler.set_targets({make_target("1")}, start);
     scheduler.request_slot(online_request(1), start);
     scheduler.release_slot(make_result(1, serving::slot_outcome::silent), start);
     cr_assert(grants(scheduler.request_slot(online_request(2), start)).empty());
     serving::target_entry restarted = make_target("1");
     restarted.started_at = 5;
-    scheduler.set_targets({restarted});
+    scheduler.set_targets({restarted}, start);
     cr_assert_eq(grants(scheduler.request_slot(online_request(3), start)).size(), 1U);
 }
