http, edge: a kept connection doesn't carry the same request twice in a row

Cause: a target may write a response once more, late, where the next one is expected; only the id tells them apart. An item keeps its id over its runs, and a rejected one may return to the same target on the same connection: the repeated rejection passed for that of the present run, which went on at another target while this one worked. For a request that may run once, three targets worked at the same time when its id came twice. Class: an end that tells nothing about the work behind it.

Ruled out: the check of ids, which can't help here; waiting for the extra response, which has no time limit.

Change: a request has an id for the client, the pool remembers the last id of each connection and skips it for that id.

Measured: abandoned_runs/repeated_rejection_of_an_item_is_not_taken_for_the_ next_one fails without the ids and passes with them; client/connection_is_not_reused_for_the_same_id is new.

Conclusion: an extra response that comes later than at the next request finds another id, or the end of the connection.

--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -96,6 +96,7 @@
     http::client_request request =
         context_.translator.make_item_request(input_.item, input_.host, attempt);
     set_time_limits(request, context_.timeouts, attempt.time_left);
+    request.id = input_.item.id;
     request.use = http::connection_use::any;
 
     http::call_observer observer;
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -178,6 +178,7 @@
     http::client_request request =
         context_.translator.make_target_request(admitted_.request, attempt);
     set_time_limits(request, context_.timeouts, attempt.time_left);
+    request.id = admitted_.request.id;
     request.use = is_repeatable() ? http::connection_use::any : http::connection_use::recent;
 
     ++attempts_;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -42,6 +42,10 @@
     std::string body;
     client_timeouts timeouts;
     connection_use use = connection_use::any;
+    /// Id by which responses name the request; empty if they don't. A kept connection that carried
+    /// the same one last is not used: a late extra response to that request could not be told from
+    /// the response to this one.
+    std::string id;
     /// Maximum size in bytes of a response body that is collected in the result.
     std::size_t body_limit = 16U << 20U;
 };
--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -167,7 +167,7 @@
 {
     reused_ = false;
     if (!fresh) {
-        connection_ = core_->take_idle(request_.address, request_.use);
+        connection_ = core_->take_idle(request_);
         reused_ = connection_ != nullptr;
     }
     if (!reused_) {
@@ -411,7 +411,7 @@
     // Bytes after the end of the response belong to no request, so the connection must not be
     // reused.
     if (parser_->keep_alive() && buffer_.size() == 0 && !write_failed_) {
-        core_->put_idle(request_.address, std::move(connection_));
+        core_->put_idle(request_, std::move(connection_));
     }
 }
 
--- a/src/http/client_core.cpp
+++ b/src/http/client_core.cpp
@@ -64,20 +64,29 @@
     }
 }
 
-std::unique_ptr<transport> client_core::take_idle(const std::string& address, connection_use use)
+std::unique_ptr<transport> client_core::take_idle(const client_request& request)
 {
-    const auto found = pools_.find(address);
-    if (found == pools_.end() || use == connection_use::fresh) {
+    const auto found = pools_.find(request.address);
+    if (found == pools_.end() || request.use == connection_use::fresh) {
         return nullptr;
     }
-    const auto limit = use == connection_use::recent ? settings.recent_idle_max : settings.idle_max;
+    const auto limit =
+        request.use == connection_use::recent ? settings.recent_idle_max : settings.idle_max;
     const auto oldest = steady_clock::now() - limit;
     auto& idle = found->second;
     // The most recently used connection first: it is the least likely to be stale, and surplus
     // connections can reach their maximum idle time.
-    while (!idle.empty() && idle.back().idle_since >= oldest) {
-        std::unique_ptr<transport> connection = std::move(idle.back().connection);
-        idle.pop_back();
+    for (std::size_t index = idle.size(); index > 0; --index) {
+        const auto position = idle.begin() + static_cast<std::ptrdiff_t>(index - 1);
+        if (position->idle_since < oldest) {
+            return nullptr;
+        }
+        const bool carried_same = !request.id.empty() && position->last_id == request.id;
+        if (carried_same) {
+            continue;
+        }
+        std::unique_ptr<transport> connection = std::move(position->connection);
+        idle.erase(position);
         if (is_reusable(*connection)) {
             return connection;
         }
@@ -85,16 +94,16 @@
     return nullptr;
 }
 
-void client_core::put_idle(const std::string& address, std::unique_ptr<transport> connection)
+void client_core::put_idle(const client_request& request, std::unique_ptr<transport> connection)
 {
     if (stopped_ || settings.tls) {
         return;
     }
-    auto& idle = pools_[address];
+    auto& idle = pools_[request.address];
     if (idle.size() >= settings.pool_size) {
         idle.pop_front();
     }
-    idle.push_back({std::move(connection), steady_clock::now()});
+    idle.push_back({std::move(connection), steady_clock::now(), request.id});
     prune_deadline_.set(prune_interval);
 }
 
--- a/src/http/client_core.hpp
+++ b/src/http/client_core.hpp
@@ -36,9 +36,9 @@
     void stop();
 
     /// Takes an idle connection that the server has not closed out of the pool, or returns null.
-    std::unique_ptr<transport> take_idle(const std::string& address, connection_use use);
-    /// Returns a connection to the pool.
-    void put_idle(const std::string& address, std::unique_ptr<transport> connection);
+    std::unique_ptr<transport> take_idle(const client_request& request);
+    /// Returns the connection of a completed request to the pool.
+    void put_idle(const client_request& request, std::unique_ptr<transport> connection);
     void close_idle(const std::string& address);
     std::size_t idle_connections(const std::string& address) const;
 
@@ -52,6 +52,8 @@
     struct idle_connection {
         std::unique_ptr<transport> connection;
         std::chrono::steady_clock::time_point idle_since;
+        /// As in `client_request`.
+        std::string last_id;
     };
 
     void prune_idle();
--- a/tests/edge/abandoned_runs_test.cpp
+++ b/tests/edge/abandoned_runs_test.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <list>
@@ -124,6 +125,74 @@
     std::thread acceptor_;
 };
 
+/// A target that rejects the first request on each connection, and on the next one repeats that
+/// response before it works. Thread-safe.
+class repeating_target {
+public:
+    repeating_target() : acceptor_([this] { accept_connections(); }) {}
+    ~repeating_target()
+    {
+        stopping_ = true;
+        raw_connection::connect_to(listener_.port());
+        acceptor_.join();
+        const std::lock_guard lock(threads_mutex_);
+        threads_.clear();
+    }
+    repeating_target(const repeating_target&) = delete;
+    repeating_target& operator=(const repeating_target&) = delete;
+    repeating_target(repeating_target&&) = delete;
+    repeating_target& operator=(repeating_target&&) = delete;
+
+    /// Entry of this target in the store.
+    std::string entry() const
+    {
+        return R"({"service":"lm","address":")" + listener_.address() +
+               R"(","zone":"a","slots":8,"state":"ready","sequence":1,"born":1000})";
+    }
+
+    /// Number of requests on which it has worked after the repeated response.
+    int misled_count() const { return misled_; }
+    int rejected_count() const { return rejected_; }
+
+private:
+    void accept_connections()
+    {
+        while (!stopping_) {
+            raw_connection accepted = listener_.accept();
+            const std::lock_guard lock(threads_mutex_);
+            threads_.emplace_back([this, connection = std::move(accepted)] { serve(connection); });
+        }
+    }
+
+    void serve(const raw_connection& connection)
+    {
+        const std::string request = connection.receive_until("\r\n\r\n");
+        const std::string name = std::string(names::request_id) + ": ";
+        const std::size_t begin = request.find(name);
+        if (begin == std::string::npos) {
+            return;
+        }
+        const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\n" +
+                                      request.substr(begin, request.find("\r\n", begin) - begin) +
+                                      "\r\n" + names::not_run + ": 1\r\nContent-Length: 0\r\n\r\n";
+        ++rejected_;
+        connection.send(rejection);
+        if (connection.receive_until("\r\n\r\n").empty()) {
+            return;
+        }
+        ++misled_;
+        connection.send(rejection);
+    }
+
+    raw_listener listener_;
+    std::atomic<bool> stopping_{false};
+    std::atomic<int> rejected_{0};
+    std::atomic<int> misled_{0};
+    std::mutex threads_mutex_;
+    std::list<std::jthread> threads_;
+    std::thread acceptor_;
+};
+
 /// Work of all targets on a request, in the order in which it began.
 std::vector<work> work_on(const std::list<tenacious_target>& targets, const std::string& request)
 {
@@ -216,3 +285,20 @@
     cr_assert_eq(test.deployment.submit(0, "job", 1), 202U);
     test.expect_no_overlap("job-0");
 }
+
+// Guards against an item that goes on elsewhere while its target works on it, since a late extra
+// rejection of its earlier run, on the same connection, passed for that of the present one.
+Test(abandoned_runs, repeated_rejection_of_an_item_is_not_taken_for_the_next_one, .timeout = 60)
+{
+    const repeating_target target;
+    edge_deployment deployment({.instances = 1, .engines = 1});
+    deployment.wait_until_idle();
+    deployment.store.put(names::target_topic, "engine-0",
+                         deployment.engines[0]->target_entry(true));
+    cr_assert(deployment.wait_for_targets(0));
+    deployment.store.put(names::target_topic, "repeating", target.entry());
+    cr_assert(deployment.wait_for_targets(1));
+    cr_assert_eq(deployment.submit(0, "job", 1), 202U);
+    cr_assert(wait_until([&] { return target.rejected_count() + target.misled_count() >= 3; }));
+    cr_assert_eq(target.misled_count(), 0);
+}
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -509,3 +509,27 @@
     request.timeouts.first_byte = 300ms;
     cr_assert(test.run(request).outcome == call_outcome::timed_out);
 }
+
+// Guards against a late extra response to a request that passes as the response to the next request
+// with the same id.
+Test(client, connection_is_not_reused_for_the_same_id, .timeout = 30)
+{
+    const raw_listener listener;
+    fixture test;
+    const auto server =
+        serve(listener, {[](raw_connection& connection) {
+                             respond(connection, ok_response);
+                             respond(connection, ok_response);
+                         },
+                         [](raw_connection& connection) { respond(connection, ok_response); }});
+    const auto send = [&](const std::string& id) {
+        http::client_request request = request_to(listener);
+        request.id = id;
+        const http::call_result result = test.run(std::move(request));
+        cr_assert(result.outcome == call_outcome::completed, "%s", result.reason.c_str());
+        return result.head.connection_reused;
+    };
+    cr_assert_not(send("a"));
+    cr_assert(send("b"));
+    cr_assert_not(send("b"));
+}
