http: a process that is killed resets the connections of its calls

Cause: the reset of calls that are given up did not reach a process that ends without its destructors (SIGKILL, a crash): the kernel closes its sockets plainly, and a target that waits or is at its prefill works on while the next owner runs the item elsewhere.

Change: the option is set when a request is written and taken back when its response is complete, so that every other end of the socket is a reset.

Conclusion: no end of this process leaves a target with a half-open call.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -210,6 +210,8 @@
     if (combined) {
         text += body;
     }
+    // Also if this process ends before the response is complete.
+    connection_->set_reset_on_close(true);
     // Applies if the call is cancelled before the number of written bytes is known.
     result_.sent = true;
     io_result written = co_await connection_->write(asio::buffer(text));
@@ -408,6 +410,7 @@
 {
     deadline_.clear();
     result_.outcome = call_outcome::completed;
+    connection_->set_reset_on_close(false);
     // Bytes after the end of the response belong to no request, so the connection must not be
     // reused.
     if (parser_->keep_alive() && buffer_.size() == 0 && !write_failed_) {
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -114,12 +114,16 @@
     socket_.close(ignored);
 }
 
-void transport::abort()
+void transport::set_reset_on_close(bool resets)
 {
     // Not through asio, which undoes the option when a socket is destroyed.
-    const linger reset_on_close{1, 0};
-    ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &reset_on_close,
-                 sizeof(reset_on_close));
+    const linger option{resets ? 1 : 0, 0};
+    ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+void transport::abort()
+{
+    set_reset_on_close(true);
     close();
 }
 
--- a/src/http/transport.hpp
+++ b/src/http/transport.hpp
@@ -49,9 +49,13 @@
     /// Closes the socket; pending operations end with an error.
     void close();
 
-    /// Closes the socket with a TCP reset. Unlike a plain close, which only ends the sending side
-    /// as the peer sees it, this tells the peer that nobody reads any more, and its next write
-    /// fails. Bytes that have not been sent yet are dropped.
+    /// Sets whether the end of the socket, also by the end of the process, is a TCP reset. Unlike a
+    /// plain end, which a peer can't tell from the end of the sending side, a reset says that
+    /// nobody reads any more, and the peer's next write fails. Bytes that have not been sent yet
+    /// are dropped.
+    void set_reset_on_close(bool resets);
+
+    /// Closes the socket with a TCP reset.
     void abort();
 
     tcp::socket& socket() { return socket_; }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -379,11 +383,20 @@
         http::client_request request = request_to(listener);
         request.timeouts.first_byte = 200ms;
         request.timeouts.between_bytes = 200ms;
+        // Without unread bytes, on which any close is a reset.
+        std::promise<void> begun_response;
+        observer.on_piece = [&begun_response](const std::string&) {
+            begun_response.set_value();
+            return http::flow::proceed;
+        };
         const auto call = test.client.start(std::move(request), std::move(observer));
         const raw_connection connection = listener.accept();
         connection.receive_until("\r\n\r\n");
         connection.send(each.response);
         if (each.cancels) {
+            if (!each.response.empty()) {
+                begun_response.get_future().wait();
+            }
             call->cancel();
         }
         cr_assert(ended.get_future().wait_for(10s) == std::future_status::ready);
@@ -533,3 +546,22 @@
     cr_assert(send("b"));
     cr_assert_not(send("b"));
 }
+
+// Guards against a server that goes on working for a client whose process was killed.
+Test(client, killed_process_resets_its_connections, .timeout = 30)
+{
+    const raw_listener listener;
+    const pid_t child = ::fork();
+    if (child == 0) {
+        fixture test;
+        const auto call = test.client.start(request_to(listener), {});
+        std::this_thread::sleep_for(20s);
+        ::_exit(0);
+    }
+    const raw_connection connection = listener.accept();
+    connection.receive_until("\r\n\r\n");
+    ::kill(child, SIGKILL);
+    int status = 0;
+    cr_assert_eq(::waitpid(child, &status, 0), child);
+    cr_assert(connection.ends_with_reset());
+}
