http: a call that is cancelled before it begins writes nothing

A target gets a request that nobody waits for, after a preemption or a hedge.

Change: the coroutine ends at once if the call has been cancelled.

--- a/src/http/client_call.cpp
+++ b/src/http/client_call.cpp
@@ -107,6 +107,12 @@
 
 awaitable<void> client_call::perform()
 {
+    if (has_ended()) {
+        // Cancelled before it began.
+        core_->remove(shared_from_this());
+        finish();
+        co_return;
+    }
     try {
         co_await attempt(request_.use == connection_use::fresh);
         if (can_retry()) {
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -565,3 +565,27 @@
     cr_assert_eq(::waitpid(child, &status, 0), child);
     cr_assert(connection.ends_with_reset());
 }
+
+// Guards against a request that is sent although its call was cancelled before it began.
+Test(client, call_cancelled_before_it_begins_is_not_written, .timeout = 30)
+{
+    const raw_listener listener;
+    fixture test;
+    std::string received;
+    auto server = serve(listener, {[&](raw_connection& connection) {
+                            respond(connection, ok_response);
+                            received = connection.receive_all();
+                        }});
+    cr_assert(test.run(request_to(listener)).outcome == call_outcome::completed);
+    std::promise<void> ended;
+    test.loop.run_and_wait([&] {
+        http::call_observer observer;
+        observer.on_done = [&](const http::call_result&) { ended.set_value(); };
+        test.client.start(request_to(listener), std::move(observer))->cancel();
+    });
+    ended.get_future().wait();
+    test.loop.run_and_wait([] {});
+    test.client.close_idle(listener.address());
+    server.join();
+    cr_assert(received.empty(), "%s", received.c_str());
+}
