jobs: one size limit for what is accepted and what is read back

Cause: job records had no limit when they were written and one of 16 MB when they were read.

Ruled out: pages of the store (1 MB or one record of 262 kB, below the client's 16 MB); parts that are missing (a job is confirmed after its last part); the limit between instances (the job was accepted).

Change: fleet_wire::submission_bytes_max (64 MiB) is checked on the body before the call is routed; above it the answer is 413. Records of up to twice that size can be read; is_encodable refuses jobs that become larger by many short headers. Settings whose record_bytes or call_bytes can't hold such a job are refused at start. The limit between instances and that of an item's body from its owner follow. The stand-in of the store limits its pages to 1 MB like the store; with pages of 500 records of any size it exceeded the client's limit.

Conclusion: what is acknowledged can be read by the next owner. Not tested: an item of more than 16 MB that is read through another instance, and store.record_bytes above 4 MiB.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t start_line_bytes_max = 8U << 10U;
 
 /// Body limit between instances, and for callers until a desired state is known.
-constexpr std::size_t internal_body_limit = 16U << 20U;
+constexpr std::size_t internal_body_limit = fleet_wire::submission_bytes_max;
 
 /// Three lines for each of about 200 requests per second, which is more than an instance serves.
 /// Lines beyond that are only counted.
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -223,6 +223,10 @@
         done(job_outcome::invalid, {});
         return;
     }
+    if (!ledger_.holds(call.job.id) && !fleet_wire::is_encodable(call.job)) {
+        done(job_outcome::too_large, {});
+        return;
+    }
     std::optional<serving::job_record> record;
     const serving::accept_result acceptance =
         ledger_.accept(call.job, wall_now(), pending_tokens_max, record);
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -268,6 +268,14 @@
                              const std::string& route, const core::team_id& team, bool forwarded,
                              std::shared_ptr<http::responder> caller)
 {
+    if (is_submission && request.received.body.size() > fleet_wire::submission_bytes_max) {
+        context_.logger.write(kernel::log_level::info, "job_call_refused",
+                              {{"id", request.id},
+                               {"reason", "too_large"},
+                               {"bytes", std::to_string(request.received.body.size())}});
+        respond(caller, job_outcome::too_large, {});
+        return;
+    }
     auto decoded = context_.translator.decode_job_call(request, is_submission);
     if (!decoded) {
         context_.logger.write(kernel::log_level::info, "job_call_refused",
@@ -373,6 +381,8 @@
         request_to_owner.headers.set(route_header, call->route);
     }
     request_to_owner.body = call->request.received.body;
+    // The response may be the body of an item.
+    request_to_owner.body_limit = fleet_wire::submission_bytes_max;
     request_to_owner.timeouts.connect = owner_connect_timeout;
     request_to_owner.timeouts.first_byte = owner_response_timeout();
     request_to_owner.use = http::connection_use::any;
--- a/src/edge/job_writer.cpp
+++ b/src/edge/job_writer.cpp
@@ -1,5 +1,6 @@
 #include "edge/job_writer.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace gooseberryfall::edge {
@@ -17,13 +18,28 @@
     return record.key.size() + record.value.size() + record_overhead;
 }
 
+/// Larger records and calls gain nothing, and a page of the store's response contains at least one
+/// whole record.
+constexpr store_limits used_limits_max{.record_bytes = 4U << 20U, .call_bytes = 8U << 20U};
+
+store_limits reduce_limits(const store_limits& limits)
+{
+    return {.record_bytes = std::min(limits.record_bytes, used_limits_max.record_bytes),
+            .call_bytes = std::min(limits.call_bytes, used_limits_max.call_bytes)};
+}
+
 } // namespace
 
+std::size_t min_record_bytes()
+{
+    return fleet_wire::min_value_bytes() + record_overhead;
+}
+
 job_writer::job_writer(store& durable_store, http::event_loop& loop, topic_partition log_partition,
                        log_writer writer, store_limits limits, fleet_wire::job_key_index keys,
                        std::function<void()> on_fenced)
     : store_(durable_store), loop_(loop), log_partition_(std::move(log_partition)),
-      writer_(std::move(writer)), limits_(limits), on_fenced_(std::move(on_fenced)),
+      writer_(std::move(writer)), limits_(reduce_limits(limits)), on_fenced_(std::move(on_fenced)),
       keys_(std::move(keys))
 {
 }
--- a/src/edge/job_writer.hpp
+++ b/src/edge/job_writer.hpp
@@ -31,6 +31,9 @@
     std::size_t call_bytes = 2097152;
 };
 
+/// Smallest `store_limits::record_bytes` with which every accepted job can be stored. Thread-safe.
+std::size_t min_record_bytes();
+
 /// Writes the records of a partition in order, one append at a time, and retries each append until
 /// it is known to be written or the partition is lost. A retry has the same sequence number, so
 /// that the store applies the append only once even if an earlier attempt is applied late. To be
--- a/src/edge/protocol.hpp
+++ b/src/edge/protocol.hpp
@@ -86,6 +86,8 @@
     not_found,
     /// The team's pending tokens have reached their limit. Nothing of the job runs.
     over_limit,
+    /// The submission is larger than any that can be stored. Nothing of the job runs.
+    too_large,
     /// The call can't be served now and had no effect: nothing of the job runs because of it.
     unavailable,
     /// It isn't known whether the call took effect.
--- a/src/fleet_wire/job_codec.cpp
+++ b/src/fleet_wire/job_codec.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Largest encoded job record, all parts together.
-constexpr std::size_t record_bytes_max = 16U << 20U;
+constexpr std::size_t record_bytes_max = 2 * submission_bytes_max;
 /// Separates a key from its part number. A job id cannot contain it, since ids are header values.
 constexpr char part_separator = '\x01';
 
@@ -24,6 +24,12 @@
 constexpr char progress_prefix = 'p';
 /// Each part begins with the total number of parts, as 4 decimal digits.
 constexpr std::size_t part_count_digits = 4;
+constexpr std::size_t part_count_max = 9999;
+
+/// Upper bounds of the encoded bytes of a structure and its pointer, and of what the encoding adds
+/// to a text: its pointer, its terminating zero and its padding.
+constexpr std::size_t structure_bytes_max = 64;
+constexpr std::size_t text_overhead_max = 16;
 
 std::string text(capnp::Text::Reader value)
 {
@@ -40,6 +46,21 @@
     return {reinterpret_cast<const kj::byte*>(value.data()), value.size()};
 }
 
+std::size_t max_encoded_size(const std::string& text)
+{
+    return text.size() + text_overhead_max;
+}
+
+std::size_t max_encoded_size(const serving::job_item& item)
+{
+    std::size_t size = structure_bytes_max + max_encoded_size(item.id) +
+                       max_encoded_size(item.path) + max_encoded_size(item.body);
+    for (const auto& [name, value] : item.headers) {
+        size += max_encoded_size(name) + max_encoded_size(value);
+    }
+    return size;
+}
+
 void write(schema::Job::Builder out, const serving::job_accepted& in)
 {
     out.setId(in.job.id);
@@ -152,6 +173,22 @@
 
 } // namespace
 
+bool is_encodable(const serving::job_submission& job)
+{
+    // The message, its root, the job and the list of items.
+    std::size_t size = 4 * structure_bytes_max + max_encoded_size(job.id) +
+                       max_encoded_size(job.team.value()) + max_encoded_size(job.route);
+    for (const serving::job_item& item : job.items) {
+        size += max_encoded_size(item);
+    }
+    return size <= record_bytes_max;
+}
+
+std::size_t min_value_bytes()
+{
+    return (record_bytes_max + part_count_max - 1) / part_count_max + part_count_digits;
+}
+
 std::vector<keyed_record> encode(const serving::job_record& record, std::size_t value_bytes_max)
 {
     capnp::MallocMessageBuilder builder(256);
--- a/src/fleet_wire/job_codec.hpp
+++ b/src/fleet_wire/job_codec.hpp
@@ -25,9 +25,22 @@
 /// of the id, a prefix, the item and the part number.
 constexpr std::size_t job_id_bytes_max = 200;
 
+/// Largest body of a job submission. `encode` and `job_record_assembler` support the records of all
+/// jobs for which `is_encodable` holds.
+constexpr std::size_t submission_bytes_max = 64U << 20U;
+
+/// Whether the record of this job is small enough to be read back. Bodies are shorter in records
+/// than in submissions, which contain them as text, but each header takes some more bytes.
+/// Thread-safe.
+bool is_encodable(const serving::job_submission& job);
+
+/// Smallest `value_bytes_max` with which `encode` supports all encodable jobs. Thread-safe.
+std::size_t min_value_bytes();
+
 /// Encodes a job record as one or more keyed records (parts) with values of at most
 /// `value_bytes_max` bytes. The parts are in order, so that a job record is complete in the log
-/// once its last part is written. Thread-safe.
+/// once its last part is written. Precondition: the record is small, or `value_bytes_max` is at
+/// least `min_value_bytes()`. Thread-safe.
 std::vector<keyed_record> encode(const serving::job_record& record, std::size_t value_bytes_max);
 
 /// Returns the id of the job that a key belongs to, or an empty view if it is not the key of a job
--- a/stand_ins/log_store.cpp
+++ b/stand_ins/log_store.cpp
@@ -13,6 +13,7 @@
 namespace names = adapter::names;
 
 constexpr std::size_t page_size = 500;
+constexpr std::size_t page_bytes_max = 1U << 20U;
 
 http::response json_response(unsigned status, const json::object& body)
 {
@@ -215,14 +216,16 @@
 http::response log_store::read_latest(const http::target_parts& parts)
 {
     const auto log_partition = parse_topic_partition(parts);
-    const auto records = state_.read_latest(log_partition, query_text(parts, "after"), page_size);
+    const auto records =
+        state_.read_latest(log_partition, query_text(parts, "after"), page_size, page_bytes_max);
     json::array items;
     for (const auto& record : records) {
         items.push_back(json::object{{"key", record.key},
                                      {"value", encode_base64(record.value)},
                                      {"offset", record.offset}});
     }
-    const bool has_more = records.size() == page_size;
+    const bool has_more =
+        !records.empty() && !state_.read_latest(log_partition, records.back().key, 1, 0).empty();
     return json_response(200, {{"items", std::move(items)},
                                {"more_pages", has_more},
                                {"end", state_.end_offset(log_partition)}});
--- a/stand_ins/log_store_state.cpp
+++ b/stand_ins/log_store_state.cpp
@@ -69,15 +69,20 @@
 
 std::vector<log_store_state::latest_record>
 log_store_state::read_latest(const topic_partition& log_partition, const std::string& after_key,
-                             std::size_t limit) const
+                             std::size_t limit, std::size_t bytes_max) const
 {
     std::vector<latest_record> result;
+    std::size_t bytes = 0;
     const auto found = partition_logs_.find(log_partition);
     if (found == partition_logs_.end()) {
         return result;
     }
     for (auto entry = found->second.latest_by_key.upper_bound(after_key);
          entry != found->second.latest_by_key.end() && result.size() < limit; ++entry) {
+        bytes += entry->second.first.size();
+        if (!result.empty() && bytes > bytes_max) {
+            break;
+        }
         result.push_back({entry->first, entry->second.first, entry->second.second});
     }
     return result;
--- a/stand_ins/log_store_state.hpp
+++ b/stand_ins/log_store_state.hpp
@@ -61,8 +61,10 @@
                                             std::uint64_t from_offset) const;
 
     /// Up to `limit` latest records whose keys come after `after_key`, in the order of the keys.
+    /// Values beyond `bytes_max` bytes are left out, except for that of the first record.
     std::vector<latest_record> read_latest(const topic_partition& log_partition,
-                                           const std::string& after_key, std::size_t limit) const;
+                                           const std::string& after_key, std::size_t limit,
+                                           std::size_t bytes_max) const;
 
     /// Offset of the next record.
     std::uint64_t end_offset(const topic_partition& log_partition) const;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -296,6 +296,11 @@
     cr_assert(settings->edge.dynamic.directory_ttl <= seconds(5));
     cr_assert(first_problem("capacity = 0.5", "capacity = \"x\"") ==
               "edge.toml:4: instance.capacity: a number from 0.001 to 1024 is expected");
+    cr_assert(first_problem("record_bytes = 262144", "record_bytes = 8192") ==
+              "edge.toml:15: store.record_bytes: is too small for a batch job of the largest "
+              "accepted size (67108864 bytes), which needs records of at least 13728 bytes");
+    cr_assert(first_problem("call_bytes = 2097152", "call_bytes = 262143") ==
+              "edge.toml:16: store.call_bytes: is smaller than store.record_bytes");
     cr_assert(first_problem("leave_s = 8", "leave_s = 8\nodd = 1") ==
               "edge.toml:27: bounds.odd: is not a known setting");
     cr_assert(first_problem("address = \"127.0.0.1:5\"", "") ==
--- a/tests/edge/job_calls_test.cpp
+++ b/tests/edge/job_calls_test.cpp
@@ -2,15 +2,74 @@
 
 #include "edge/edge_deployment.hpp"
 
+#include "fleet_wire/fleet_wire.hpp"
+#include "platform/names.hpp"
+
 #include <criterion/criterion.h>
 
 #include <future>
 #include <string>
 #include <thread>
 
+namespace fleet_wire = gooseberryfall::fleet_wire;
+namespace names = gooseberryfall::adapter::names;
 namespace stand_ins = gooseberryfall::stand_ins;
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr std::size_t large_item_count = 5;
+
+/// Body of a submission of exactly this many bytes, whose items' bodies are the letter `X`.
+std::string make_large_submission(const std::string& job, std::size_t bytes)
+{
+    constexpr std::size_t headroom = 1024;
+    // Each four characters of base64 encode three letters.
+    const std::size_t groups = (bytes - headroom) / large_item_count / 4;
+    std::string encoded_body;
+    for (std::size_t group = 0; group < groups; ++group) {
+        encoded_body += "WFhY";
+    }
+    std::string body = R"({"items":[)";
+    for (std::size_t item = 0; item < large_item_count; ++item) {
+        const std::string id = job + "-" + std::to_string(item);
+        body += item == 0 ? "" : ",";
+        body += R"({"id":")" + id + R"(","path":"/idle/x","headers":{},"tokens":1,"body":")" +
+                encoded_body + R"("})";
+    }
+    body += "]}";
+    cr_assert(body.size() <= bytes);
+    body.append(bytes - body.size(), ' ');
+    return body;
+}
+
+unsigned submit_large(edge_deployment& deployment, const std::string& job, std::size_t bytes)
+{
+    return deployment
+        .call(0, "POST", "/idle/" + job,
+              {{names::request_id, job}, {"Authorization", "Bearer key-a"}},
+              make_large_submission(job, bytes))
+        .head.status;
+}
+
+/// Whether an instance returns the bodies of all items of a large job.
+bool has_large_items(edge_deployment& deployment, std::size_t instance, const std::string& job)
+{
+    for (std::size_t item = 0; item < large_item_count; ++item) {
+        const auto response = deployment.call(instance, "GET",
+                                              names::item_path_prefix + job + "?id=" + job + "-" +
+                                                  std::to_string(item),
+                                              {{"Authorization", "Bearer key-a"}});
+        if (response.head.status != 200 || response.body.size() < (8U << 20U) ||
+            response.body.find_first_not_of('X') != std::string::npos) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
 // Guards against a job that runs although its caller was told that it doesn't: its record is queued
 // while the store doesn't respond, and the submission comes again.
 Test(job_calls, job_with_a_queued_record_is_not_rejected, .timeout = 60)
@@ -45,3 +104,25 @@
     cr_assert_eq(result_count(deployment.wait_for_results(0, "job", 10)), 10U);
     cr_assert_eq(result_count(deployment.results(0, "idle-0").body), 0U);
 }
+
+// Guards against an accepted job that is too large to be read from the log by the next owner.
+Test(job_calls, largest_accepted_job_survives_a_restart_of_all_instances, .timeout = 120)
+{
+    edge_deployment deployment(
+        {.instances = 2, .body_bytes = 80U << 20U, .has_idle_service = true});
+    deployment.wait_until_idle();
+    constexpr std::size_t limit = fleet_wire::submission_bytes_max;
+    cr_assert_eq(submit_large(deployment, "above", limit + 1), 413U);
+    cr_assert_eq(submit_large(deployment, "below", limit - 1), 202U);
+    cr_assert_eq(submit_large(deployment, "at", limit), 202U);
+    deployment.kill(0);
+    deployment.kill(1);
+    deployment.restart(0);
+    deployment.restart(1);
+    deployment.wait_until_serving();
+    for (const std::size_t instance : {0U, 1U}) {
+        cr_assert(has_large_items(deployment, instance, "below"), "instance %zu", instance);
+        cr_assert(has_large_items(deployment, instance, "at"), "instance %zu", instance);
+    }
+    cr_assert_eq(deployment.results(0, "above").head.status, 404U);
+}
