jobs: failures of an item outlast the owner of its partition

Ruled out: runs that are cut when the owner changes: they count neither before nor after, and are not what the rule counts.

Change: item_failed, a record of the partition's log with one key per item; a later count replaces an earlier one, and the tombstones of the job delete it. The item waits for the write before it runs again. Only an answer of 500 that isn't the last one allowed is written. The schema gets one member of a union; older records are read as before.

Conclusion: an item has at most attempts - 1 added records and one key. Open: a 422 whose result isn't written before the owner is lost is repeated once by each new owner.

--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -464,7 +464,9 @@
             ledger_.record_failure(key, /*target_failed=*/true, steady_clock::now());
         if (route != nullptr && failures >= route->attempts_max) {
             finish_item(key, serving::result_state::dead_letter, {});
+            return;
         }
+        write_failures(key, failures);
         return;
     }
     case item_run_outcome::interrupted:
@@ -479,6 +481,18 @@
     }
 }
 
+void job_partition::write_failures(const serving::item_key& key, std::uint32_t failures)
+{
+    // The item waits for the write: a new owner must not repeat runs that it doesn't know of.
+    ledger_.set_running(key, true);
+    writer_->write(serving::item_failed{key.job, key.item, failures},
+                   [this, alive = alive_, key](write_outcome outcome) {
+                       if (*alive && outcome == write_outcome::written) {
+                           ledger_.set_running(key, false);
+                       }
+                   });
+}
+
 void job_partition::finish_item(const serving::item_key& key, serving::result_state state,
                                 const std::string& output)
 {
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -118,6 +118,8 @@
     void start_items(core::time_point now);
     bool start_item(const serving::runnable_item& item, core::time_point now);
     void on_item_end(const serving::item_key& key, const item_run_result& run_result);
+    /// Writes the failed runs of an item, which may run again once they are in the log.
+    void write_failures(const serving::item_key& key, std::uint32_t failures);
     void finish_item(const serving::item_key& key, serving::result_state state,
                      const std::string& output);
     void abandon_expired_items(core::time_point now);
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -276,5 +276,10 @@
       nextEvent @9 :UInt64;
       text @10 :Data;
     }
+    failed :group {
+      job @11 :Text;
+      item @12 :UInt32;
+      failures @13 :UInt32;
+    }
   }
 }
--- a/src/fleet_wire/job_codec.cpp
+++ b/src/fleet_wire/job_codec.cpp
@@ -22,6 +22,7 @@
 constexpr char result_prefix = 'r';
 constexpr char closed_prefix = 'e';
 constexpr char progress_prefix = 'p';
+constexpr char failed_prefix = 'f';
 /// Each part begins with the total number of parts, as 4 decimal digits.
 constexpr std::size_t part_count_digits = 4;
 constexpr std::size_t part_count_max = 9999;
@@ -120,6 +121,13 @@
     out.setText(as_data(in.progress.text));
 }
 
+void write(schema::JobRecord::Failed::Builder out, const serving::item_failed& in)
+{
+    out.setJob(in.job);
+    out.setItem(in.item);
+    out.setFailures(in.failures);
+}
+
 serving::job_record read(schema::JobRecord::Reader in)
 {
     switch (in.which()) {
@@ -144,6 +152,10 @@
         out.progress.text = bytes(progressed.getText());
         return out;
     }
+    case schema::JobRecord::FAILED: {
+        const auto failed = in.getFailed();
+        return serving::item_failed{text(failed.getJob()), failed.getItem(), failed.getFailures()};
+    }
     }
     throw wire::conversion_error("unknown kind of job record");
 }
@@ -160,6 +172,9 @@
             [](const serving::item_progressed& in) {
                 return progress_prefix + in.job + '/' + std::to_string(in.item);
             },
+            [](const serving::item_failed& in) {
+                return failed_prefix + in.job + '/' + std::to_string(in.item);
+            },
         },
         record);
 }
@@ -198,6 +213,7 @@
                    [&](const serving::item_finished& in) { write(out.initFinished(), in); },
                    [&](const serving::job_closed& in) { out.setClosed(in.job); },
                    [&](const serving::item_progressed& in) { write(out.initAdvanced(), in); },
+                   [&](const serving::item_failed& in) { write(out.initFailed(), in); },
                },
                record);
     const std::string encoded = wire::to_bytes(builder);
@@ -224,7 +240,8 @@
         return key_body;
     }
     const std::size_t slash = key_body.rfind('/');
-    const bool is_item_key = kind == result_prefix || kind == progress_prefix;
+    const bool is_item_key =
+        kind == result_prefix || kind == progress_prefix || kind == failed_prefix;
     return is_item_key && slash != std::string_view::npos ? key_body.substr(0, slash)
                                                           : std::string_view();
 }
--- a/src/serving/job_ledger.cpp
+++ b/src/serving/job_ledger.cpp
@@ -73,10 +73,16 @@
             item.progress = std::move(progressed.progress);
         }
     };
+    const auto on_failed = [&](const item_failed& failed) {
+        job_entry* job = find_job(failed.job);
+        if (job != nullptr && failed.item < job->items.size()) {
+            job->items[failed.item].failures = failed.failures;
+        }
+    };
     for (job_record& record : unapplied_) {
-        std::visit(
-            core::visitors{[](const job_accepted&) {}, on_finished, on_closed, on_progressed},
-            record);
+        std::visit(core::visitors{[](const job_accepted&) {}, on_finished, on_closed, on_progressed,
+                                  on_failed},
+                   record);
     }
     unapplied_.clear();
     for (auto& [id, job] : jobs_) {
--- a/src/serving/job_ledger.hpp
+++ b/src/serving/job_ledger.hpp
@@ -87,7 +87,16 @@
     item_progress progress;
 };
 
-using job_record = std::variant<job_accepted, item_finished, job_closed, item_progressed>;
+/// Failed runs of an unfinished item. Replaces the earlier record of the item.
+struct item_failed {
+    std::string job;
+    std::uint32_t item = 0;
+    /// Number of runs that a target answered as failed.
+    std::uint32_t failures = 0;
+};
+
+using job_record =
+    std::variant<job_accepted, item_finished, job_closed, item_progressed, item_failed>;
 
 /// Identifies an item of the ledger.
 struct item_key {
--- a/tests/edge/job_calls_test.cpp
+++ b/tests/edge/job_calls_test.cpp
@@ -126,3 +126,23 @@
     }
     cr_assert_eq(deployment.results(0, "above").head.status, 404U);
 }
+
+// Guards against an item that fails at each run and is run again by each owner of its partition.
+Test(job_calls, failures_of_an_item_outlast_its_owner, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 1});
+    deployment.wait_until_idle();
+    for (const auto& engine : deployment.engines) {
+        engine->respond_with_status(500);
+    }
+    cr_assert_eq(deployment.submit(0, "job", 1), 202U);
+    // The route allows three failures.
+    for (std::size_t run = 1; run <= 3; ++run) {
+        cr_assert(wait_until([&] { return deployment.runs_of("job-0").size() >= run; }));
+        std::this_thread::sleep_for(milliseconds(80));
+        deployment.kill(0);
+        deployment.restart(0);
+    }
+    cr_assert_eq(result_count(deployment.wait_for_results(0, "job", 1)), 1U);
+    cr_assert_eq(deployment.runs_of("job-0").size(), 3U);
+}
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -227,6 +227,19 @@
     cr_assert_eq(seen, 2);
 }
 
+// Guards against failures of an item that change when they are encoded and decoded.
+Test(job_codec, failures_survive_a_round_trip)
+{
+    fleet_wire::job_record_assembler assembler;
+    for (const auto& part : fleet_wire::encode(serving::item_failed{"job", 3, 2}, 1000)) {
+        assembler.add(part.key, part.value);
+    }
+    const auto records = assembler.take_records();
+    cr_assert_eq(records.size(), 1U);
+    const auto& failed = std::get<serving::item_failed>(records.front());
+    cr_assert(failed.job == "job" && failed.item == 3 && failed.failures == 2);
+}
+
 // Guards against records of a deleted job that stay in the log, and against tombstones in an order
 // in which a new owner could take a partly deleted job as open and run its items again.
 Test(job_key_index, tombstones_delete_all_records_and_the_closed_record_last)
@@ -238,6 +251,7 @@
     accepted_job.job.items.push_back({"i", "/p", {}, std::string(1000, 'x'), 10});
     const std::vector<serving::job_record> records{
         accepted_job, serving::item_progressed{"a/b", 0, {3, std::string(500, 'y')}},
+        serving::item_failed{"a/b", 0, 2},
         serving::item_finished{"a/b", 0, {0, serving::result_state::complete, "z"}},
         serving::job_closed{"a/b"}};
     for (const serving::job_record& record : records) {
--- a/tests/serving/job_ledger_test.cpp
+++ b/tests/serving/job_ledger_test.cpp
@@ -184,6 +184,20 @@
     cr_assert(notes.runnable(ledger, 10, start + milliseconds(200)).empty());
 }
 
+// Guards against an item that fails at each run and is run again by each owner of its partition.
+Test(job_ledger, new_owner_counts_earlier_failures)
+{
+    job_ledger old_owner;
+    const serving::job_record accepted_record = accept_job(old_owner, make_job("j", 2));
+    job_ledger new_owner;
+    // The records come in the order of their keys.
+    new_owner.load(serving::item_failed{"j", 1, 2});
+    new_owner.load(accepted_record);
+    new_owner.finish_loading();
+    cr_assert_eq(new_owner.record_failure({"j", 1}, true, start), 3U);
+    cr_assert_eq(new_owner.record_failure({"j", 0}, true, start), 1U);
+}
+
 // Guards against removing jobs that still run or are within their retention time, and against
 // keeping ended jobs forever.
 Test(job_ledger, only_old_ended_jobs_expire)
