--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -34,8 +34,8 @@
 /// Allowance for the start line, which the operator's header limit does not include.
 constexpr std::size_t start_line_bytes_max = 8U << 10U;
 
-/// Body limit between instances, and for callers until a desired state is known.
-constexpr std::size_t internal_body_limit = fleet_wire::submission_bytes_max;
+/// Body limit until a desired state is known.
+constexpr std::size_t initial_body_limit = 16U << 20U;
 
 /// Three lines for each of about 200 requests per second, which is more than an instance serves.
 /// Lines beyond that are only counted.
@@ -255,7 +255,7 @@
     server.idle_timeout = idle_timeout_default;
     server.response_buffer_bytes = answer_buffer_bytes;
     // A job submission contains the encoded bodies of its items.
-    server.body_limit = internal_body_limit;
+    server.body_limit = initial_body_limit;
     server.header_limit = 64U << 10U;
     return std::make_unique<http::server>(*loop_, std::move(server), std::move(handlers));
 }
@@ -436,7 +436,7 @@
     applied.idle_timeout = limits.idle_timeout;
     callers_server_->set_limits(applied);
     // Job submissions are forwarded to the owner of the partition.
-    applied.body_limit = std::max(internal_body_limit, limits.body_bytes * 2);
+    applied.body_limit = std::max(fleet_wire::submission_bytes_max, limits.body_bytes * 2);
     applied.idle_timeout = idle_timeout_default;
     internal_server_->set_limits(applied);
 }
