serving: a run cut at its own deadline is no failure of the target

Cause: a target ends a run at the time limit it was given, and connection attempts and waits for bytes get the time left as their limit. `to_slot_outcome` reports these ends as `broken`, `unreachable` or `silent`, so that `target_health` pauses a sound target; an online deadline reported `silent` however short the wait was. Shown by tests/edge/run_limits_test.cpp: after five requests of 150 ms, or eight items with a lifetime of 1 s, the next online request gets 503.

Ruled out: a shorter pause. It only hides that the outcome says nothing about the target.

Change: `judge_run_end` decides at the one place where a run's slot is released, for online requests and items. Load estimates and measured times take completed runs only, as before.

--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -283,7 +283,12 @@
     if (admission_ != 0) {
         const milliseconds duration =
             target_.empty() ? milliseconds(0) : duration_between(sent_at_, steady_clock::now());
-        context_.admission.release(std::exchange(admission_, 0), outcome, target_first_byte_,
+        const serving::run_limits limits{input_.expires_at, last_received_at_,
+                                         context_.timeouts.stall};
+        const serving::slot_outcome judged =
+            target_.empty() ? outcome
+                            : serving::judge_run_end(outcome, limits, steady_clock::now());
+        context_.admission.release(std::exchange(admission_, 0), judged, target_first_byte_,
                                    duration);
     }
 }
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -183,6 +183,7 @@
 
     ++attempts_;
     sent_at_ = steady_clock::now();
+    last_received_at_ = sent_at_;
     target_first_byte_.reset();
     head_ = {0, {}};
     response_flags_ = {};
@@ -283,6 +284,7 @@
 
 http::flow online_exchange::on_piece(std::string piece)
 {
+    last_received_at_ = steady_clock::now();
     if (!target_first_byte_) {
         target_first_byte_ = elapsed_since(sent_at_);
         context_.admission.set_unresponsive(admission_, false);
@@ -446,8 +448,11 @@
 void online_exchange::release_admission(serving::slot_outcome outcome)
 {
     if (admission_ != 0) {
-        context_.admission.release(std::exchange(admission_, 0), outcome, target_first_byte_,
-                                   elapsed_since(sent_at_));
+        const serving::run_limits limits{deadline_, last_received_at_,
+                                         context_.timeouts.unresponsive_after};
+        context_.admission.release(std::exchange(admission_, 0),
+                                   serving::judge_run_end(outcome, limits, steady_clock::now()),
+                                   target_first_byte_, elapsed_since(sent_at_));
     }
 }
 
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -125,6 +125,7 @@
     serving::target_process target_process_;
     std::string address_;
     std::chrono::steady_clock::time_point sent_at_;
+    std::chrono::steady_clock::time_point last_received_at_;
     /// Time from sending the request to the target to the first byte of its response body.
     std::optional<std::chrono::milliseconds> target_first_byte_;
     http::response_head head_{0, {}};
--- a/src/serving/target_health.cpp
+++ b/src/serving/target_health.cpp
@@ -27,11 +27,40 @@
 
 namespace {
 
+/// Time limits are sent in whole milliseconds, and timers of both sides fire within a few.
+constexpr std::chrono::milliseconds deadline_tolerance{20};
+
+bool is_limit_dependent(slot_outcome outcome)
+{
+    switch (outcome) {
+    case slot_outcome::unreachable:
+    case slot_outcome::broken:
+    case slot_outcome::silent:
+    case slot_outcome::failed:
+        return true;
+    case slot_outcome::completed:
+    case slot_outcome::not_run:
+    case slot_outcome::cancelled:
+        return false;
+    }
+    return false;
+}
+
 /// Doublings after which the pause has reached its maximum under any settings.
 constexpr std::uint32_t pause_doublings_max = 6;
 
 } // namespace
 
+slot_outcome judge_run_end(slot_outcome observed, const run_limits& limits, core::time_point now)
+{
+    if (now + deadline_tolerance < limits.deadline || !is_limit_dependent(observed)) {
+        return observed;
+    }
+    const bool was_silent =
+        observed == slot_outcome::silent && now - limits.last_received_at >= limits.silence_max;
+    return was_silent ? slot_outcome::silent : slot_outcome::cancelled;
+}
+
 void target_health::pause(core::time_point now)
 {
     const std::uint32_t doublings = std::min(consecutive_failures_, pause_doublings_max);
--- a/src/serving/target_health.hpp
+++ b/src/serving/target_health.hpp
@@ -28,6 +28,22 @@
 /// Name of an outcome for messages and logs. Thread-safe.
 const char* to_text(slot_outcome outcome);
 
+/// Time limits of a run, by which its end is judged.
+struct run_limits {
+    /// When the instance and the target end the run. The target counts from the arrival of the
+    /// request, so it isn't earlier.
+    core::time_point deadline;
+    /// Last byte from the target, or when the request was sent.
+    core::time_point last_received_at;
+    /// A target that sends nothing for this long counts as silent.
+    std::chrono::milliseconds silence_max{0};
+};
+
+/// What the end of a run says about its target. A run that reached its deadline was cut by that
+/// limit, however the cut looks from here: its failure counts as `cancelled`, unless the target was
+/// silent for long enough before. Thread-safe.
+slot_outcome judge_run_end(slot_outcome observed, const run_limits& limits, core::time_point now);
+
 /// Settings of `target_health`.
 struct health_settings {
     /// First pause after a failed connection or a timeout; doubled with each consecutive failure.
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -31,6 +31,8 @@
         std::size_t body_bytes = 4U << 20U;
         /// Time for which results are kept; 0 keeps them without limit.
         std::chrono::milliseconds results_retention{0};
+        /// Time after which batch items are abandoned.
+        std::chrono::seconds item_lifetime{60};
         /// Adds a second batch route, `/idle/`, to a service that has no engines.
         bool has_idle_service = false;
         /// Time after which a leaving instance exits.
