serving: start items that would expire during their run last

Cause: owners and `slot_scheduler` take items in the order of due times. Under more work than fits into the lifetime of items, the first one in that order is always about to expire, so that each run is cut and no slot is left for items that could finish.

Ruled out: the pauses of targets alone.

Change: a slot request of an item carries its time to expiry (a new field with a default, so that instances of both versions understand each other). An item whose time left is below 1.5 times the measured duration of such a run ranks behind all others. While no slot is free it is rejected, so that its owner asks for another item; it still takes a slot that no other item can use, and ends as dead letter at the end of its lifetime.

--- a/src/edge/admission_client.cpp
+++ b/src/edge/admission_client.cpp
@@ -80,6 +80,9 @@
     added.requested_at = now;
     added.objective_at = now + added.request.slot.time_to_objective;
     added.expires_at = now + added.request.slot.time_to_deadline;
+    if (const auto& time_to_expiry = added.request.slot.time_to_expiry) {
+        added.item_expires_at = now + *time_to_expiry;
+    }
     tracked_request& stored = requests_.emplace(number, std::move(added)).first->second;
     send(stored, now);
     return number;
@@ -95,6 +98,9 @@
     }
     tracked.request.slot.time_to_objective = time_until(tracked.objective_at, now);
     tracked.request.slot.time_to_deadline = time_until(tracked.expires_at, now);
+    if (tracked.item_expires_at) {
+        tracked.request.slot.time_to_expiry = time_until(*tracked.item_expires_at, now);
+    }
     if (!fleet_.send_to_leader(tracked.request) && online && !fleet_.expects_leader()) {
         request_locally(tracked, now);
     }
--- a/src/edge/admission_client.hpp
+++ b/src/edge/admission_client.hpp
@@ -104,6 +104,8 @@
         core::time_point sent_at;
         core::time_point objective_at;
         core::time_point expires_at;
+        /// Batch: when the item is abandoned.
+        std::optional<core::time_point> item_expires_at;
         core::target_id target;
         bool unresponsive = false;
     };
--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -48,6 +48,7 @@
     new_admission.slot.prefixes = context_.translator.item_prompt_prefixes(input_.item);
     new_admission.slot.tokens = input_.remaining_tokens;
     new_admission.slot.time_to_deadline = duration_between(now, input_.due_at);
+    new_admission.slot.time_to_expiry = duration_between(now, input_.expires_at);
     new_admission.traits.parts = context_.translator.item_prompt_parts(input_.item);
     admission_ = context_.admission.request_admission(
         std::move(new_admission),
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -15,6 +15,9 @@
 using std::chrono::milliseconds;
 
 /// Milliseconds as stored in a message, limited to the range of the field.
+/// Value of `untilExpiryMs` for a request without expiry.
+constexpr std::int32_t no_expiry = -1;
+
 std::int32_t to_wire(milliseconds value)
 {
     constexpr std::int64_t limit = std::numeric_limits<std::int32_t>::max();
@@ -111,6 +114,8 @@
     out.setTokens(request.tokens);
     out.setUntilObjectiveMs(to_wire(request.time_to_objective));
     out.setUntilEndMs(to_wire(request.time_to_deadline));
+    out.setUntilExpiryMs(request.time_to_expiry ? std::max(0, to_wire(*request.time_to_expiry))
+                                                : no_expiry);
     out.setReturning(request.is_retry);
     auto excluded = out.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
@@ -133,6 +138,9 @@
     request.tokens = in.getTokens();
     request.time_to_objective = milliseconds(in.getUntilObjectiveMs());
     request.time_to_deadline = milliseconds(in.getUntilEndMs());
+    if (in.getUntilExpiryMs() != no_expiry) {
+        request.time_to_expiry = milliseconds(in.getUntilExpiryMs());
+    }
     request.is_retry = in.getReturning();
     for (const auto excluded_target : in.getExcluded()) {
         request.excluded.emplace_back(text(excluded_target));
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -43,6 +43,8 @@
   fingerprint @11 :UInt64;
   # Hashes of the parts of the prompt, each by itself.
   parts @12 :List(UInt64);
+  # Time until a batch item is abandoned; -1 if unknown.
+  untilExpiryMs @13 :Int32 = -1;
 }
 
 struct SlotReply {
--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -53,6 +53,11 @@
     return use == rate_use::all ? rate.allows(now) : rate.has_surplus(now);
 }
 
+core::time_point expiry_of(const slot_request& request, core::time_point now)
+{
+    return request.time_to_expiry ? now + *request.time_to_expiry : core::time_point::max();
+}
+
 bool contains(const std::vector<core::target_id>& list, const core::target_id& id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
@@ -138,6 +143,13 @@
     return queued.deadline - now - expected_duration(pool, queued.request.tokens);
 }
 
+bool slot_scheduler::expires_during_run(const service_pool& pool, const queued_request& queued,
+                                        core::time_point now) const
+{
+    const std::chrono::duration<double> duration = expected_duration(pool, queued.request.tokens);
+    return queued.expires_at - now < duration * settings_.expiry_margin_factor;
+}
+
 bool slot_scheduler::usable(const service_pool& pool, const target_state& target,
                             core::time_point now) const
 {
@@ -421,6 +433,7 @@
     if (duplicate != queue.end()) {
         duplicate->requested_at = now;
         duplicate->deadline = now + request.time_to_deadline;
+        duplicate->expires_at = expiry_of(request, now);
         return out;
     }
     if (pool.targets.empty() && targets_known_) {
@@ -430,7 +443,7 @@
         return out;
     }
     queued_request queued{request, now, now + request.time_to_objective,
-                          now + request.time_to_deadline};
+                          now + request.time_to_deadline, expiry_of(request, now)};
     if (request.kind == work_kind::batch) {
         queue.push_back(std::move(queued));
         fill_free_slots(pool, now, out);
@@ -628,6 +641,21 @@
     pool.online = std::move(retained);
 }
 
+void slot_scheduler::reject_expiring_items(service_pool& pool, core::time_point now,
+                                           slot_decisions& out)
+{
+    if (!targets_known_) {
+        return;
+    }
+    std::erase_if(pool.batch, [&](const queued_request& queued) {
+        if (!expires_during_run(pool, queued, now)) {
+            return false;
+        }
+        out.emplace_back(slot_rejection{queued.request.key, slot_rejection_reason::overloaded, {}});
+        return true;
+    });
+}
+
 slot_scheduler::queued_request* slot_scheduler::next_online(service_pool& pool,
                                                             core::time_point now, bool late)
 {
@@ -651,22 +679,24 @@
 slot_scheduler::queued_request* slot_scheduler::next_batch(service_pool& pool, core::time_point now,
                                                            bool urgent_only)
 {
+    // Items that would expire during their run come after all others, since their run is wasted.
     // Items that cannot meet their due time have lost most of their value and run last. The others
     // run in order of their due times; urgent items are placed by an earlier call with
     // `urgent_only`.
     queued_request* best = nullptr;
-    std::tuple<bool, core::time_point, core::duration> best_rank;
+    std::tuple<bool, bool, core::time_point, core::duration> best_rank;
     for (queued_request& queued : pool.batch) {
         if (pool.overloaded && queued.unplanned) {
             // It may be an item that was deferred a moment ago and has been requested again.
             continue;
         }
         const core::duration slack_left = slack(pool, queued, now);
+        const bool expires = expires_during_run(pool, queued, now);
         const bool late = queued.deferred || slack_left < core::duration::zero();
-        if (urgent_only && (late || slack_left > settings_.urgent_margin)) {
+        if (urgent_only && (expires || late || slack_left > settings_.urgent_margin)) {
             continue;
         }
-        const std::tuple rank(late, queued.deadline,
+        const std::tuple rank(expires, late, queued.deadline,
                               expected_duration(pool, queued.request.tokens));
         if (best == nullptr || rank < best_rank) {
             best = &queued;
@@ -795,6 +825,7 @@
         plan_batch(service, pool, now);
         fill_free_slots(pool, now, out);
         reject_infeasible(service, pool, now, out);
+        reject_expiring_items(pool, now, out);
     }
     return out;
 }
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -46,6 +46,8 @@
     std::chrono::milliseconds time_to_objective{0};
     /// Online: time until the request is abandoned. Batch: time until the result is due.
     std::chrono::milliseconds time_to_deadline{0};
+    /// Batch: time until the item is abandoned; unset if it never is.
+    std::optional<std::chrono::milliseconds> time_to_expiry;
     /// Online: whether this is a retry. A retry that is rejected is not repeated by its caller.
     bool is_retry = false;
     /// Targets that have already failed this request.
@@ -129,6 +131,9 @@
     /// Time for which a slot is reserved for online requests after a batch run was preempted before
     /// its first event. Covers a few arrivals at the rates at which this happens.
     std::chrono::milliseconds early_preemption_window{1000};
+    /// An item is expected to expire during its run if it has less time left than the expected
+    /// duration multiplied by this, since half of the runs take longer than the average.
+    double expiry_margin_factor = 1.5;
     /// A batch run that needs no more time than this is preempted last, since it ends about as soon
     /// as an online request would.
     std::chrono::milliseconds nearly_done_max{800};
@@ -166,6 +171,9 @@
 ///   cannot meet its due time, then one with much work left, then the one that is due last.
 /// - Batch items run in order of their due times. When not all of them can meet these, the largest
 ///   ones are deferred until the others are done.
+/// - A batch item that would expire during its run starts only if no other item can use the slot.
+///   When no slot is free, it is rejected, so that its owner requests a slot for another item. With
+///   more items than fit into their lifetime, runs in order of due times would all be cut short.
 /// - Among targets of similar load, one to which the requesting instance has an idle connection is
 ///   preferred: in a large fleet, connections would otherwise be used only once.
 /// - A batch item near its due time takes precedence over online requests and is not preempted.
@@ -259,6 +267,8 @@
         core::time_point requested_at;
         core::time_point objective_at;
         core::time_point deadline;
+        /// Batch: when the item is abandoned.
+        core::time_point expires_at = core::time_point::max();
         /// Batch: not selected, since not all batch work can meet its due time.
         bool deferred = false;
         /// Batch: it arrived after the last selection.
@@ -306,6 +316,9 @@
     /// Slots of a target that requests can keep busy within its rate limit.
     double busy_slots_max(const service_pool& pool, const target_state& target) const;
     double mean_online_seconds(const service_pool& pool) const;
+    /// Whether a batch item is expected to be abandoned before the end of its run.
+    bool expires_during_run(const service_pool& pool, const queued_request& queued,
+                            core::time_point now) const;
     bool usable(const service_pool& pool, const target_state& target, core::time_point now) const;
     std::uint32_t free_slots(const service_pool& pool, const target_state& target,
                              core::time_point now) const;
@@ -335,6 +348,8 @@
                 slot_rejection_reason reason, slot_decisions& out);
     void reject_infeasible(const core::service_id& service, service_pool& pool,
                            core::time_point now, slot_decisions& out);
+    /// Rejects the batch items that no slot was free for and that would expire during their runs.
+    void reject_expiring_items(service_pool& pool, core::time_point now, slot_decisions& out);
     void fill_free_slots(service_pool& pool, core::time_point now, slot_decisions& out);
     queued_request* next_online(service_pool& pool, core::time_point now, bool late);
     queued_request* next_batch(service_pool& pool, core::time_point now, bool urgent_only);
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -49,6 +49,7 @@
     request.slot.tokens = 5;
     request.slot.time_to_objective = milliseconds(-20);
     request.slot.time_to_deadline = milliseconds(4000);
+    request.slot.time_to_expiry = milliseconds(9000);
     request.slot.is_retry = true;
     request.slot.excluded = {core::target_id("t")};
     request.team = core::team_id("studio");
@@ -58,7 +59,10 @@
     cr_assert(decoded_request.slot.kind == serving::work_kind::batch);
     cr_assert(decoded_request.slot.prefixes == request.slot.prefixes);
     cr_assert(decoded_request.slot.time_to_objective == milliseconds(-20));
+    cr_assert(decoded_request.slot.time_to_expiry == milliseconds(9000));
     cr_assert(decoded_request.slot.excluded == request.slot.excluded);
+    request.slot.time_to_expiry.reset();
+    cr_assert(!round_trip(request).slot.time_to_expiry.has_value());
     cr_assert(decoded_request.team == request.team && decoded_request.traits == request.traits);
 
     serving::admission_reply reply;
