--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -14,10 +14,10 @@
 
 using std::chrono::milliseconds;
 
-/// Milliseconds as stored in a message, limited to the range of the field.
 /// Value of `untilExpiryMs` for a request without expiry.
 constexpr std::int32_t no_expiry = -1;
 
+/// Milliseconds as stored in a message, limited to the range of the field.
 std::int32_t to_wire(milliseconds value)
 {
     constexpr std::int64_t limit = std::numeric_limits<std::int32_t>::max();
