--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -168,13 +168,18 @@
            settings_.failure_paused_share_max * static_cast<double>(pool.targets.size());
 }
 
+std::uint32_t slot_scheduler::slots_of(const target_state& target)
+{
+    return target.health.on_probation() ? 1 : target.entry.slots;
+}
+
 std::uint32_t slot_scheduler::free_slots(const service_pool& pool, const target_state& target,
                                          core::time_point now) const
 {
     if (!usable(pool, target, now) || !target.rate.allows(now)) {
         return 0;
     }
-    const std::uint32_t slots = target.health.on_probation() ? 1 : target.entry.slots;
+    const std::uint32_t slots = slots_of(target);
     return slots > target.running ? slots - target.running : 0;
 }
 
@@ -386,7 +391,7 @@
         }
         // Each slot waits for its run to end, if it has one, and for the rate to allow a request.
         std::vector<core::duration> runs = std::move(limited_runs[id]);
-        runs.resize(std::max<std::size_t>(runs.size(), target.entry.slots));
+        runs.resize(std::max<std::size_t>(runs.size(), slots_of(target)));
         std::sort(runs.begin(), runs.end());
         for (std::size_t index = 0; index < runs.size(); ++index) {
             waits.push_back(std::max(runs[index], target.rate.next_at(index, now) - now));
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -320,6 +320,8 @@
     bool expires_during_run(const service_pool& pool, const queued_request& queued,
                             core::time_point now) const;
     bool usable(const service_pool& pool, const target_state& target, core::time_point now) const;
+    /// Slots that may be in use at the same time: one on probation.
+    static std::uint32_t slots_of(const target_state& target);
     std::uint32_t free_slots(const service_pool& pool, const target_state& target,
                              core::time_point now) const;
     target_state* choose_target(service_pool& pool, const slot_request& request,
