soak: links to engines that tell a close from a reset, and who sent a run

Ruled out: a mode of the stand-in alone. Its connection ends at the link, so that only the link can tell a close from a reset; http::server stays as it is.

Change: links to engines keep half-closed connections, so that the engine learns of its caller's leaving from a reset or a failed write, and connect from an address that the soak chooses. The stand-in records when a run ended and where it came from, and takes a pace for each run: a prefill before the head, the time between events, a pause in the middle.

Conclusion: the soak's engines behave as HTTP allows. Nothing in the product changed.

--- a/soak/faulty_links.cpp
+++ b/soak/faulty_links.cpp
@@ -38,13 +38,32 @@
 }
 
 std::size_t faulty_links::open(const std::string& upstream)
+{
+    return add(make_route(upstream));
+}
+
+std::size_t faulty_links::open_to_engine(const std::string& upstream,
+                                         stand_ins::proxy_route::source_selector selector)
+{
+    auto route = make_route(upstream);
+    route->set_keeps_half_closed(true);
+    route->set_source_selector(std::move(selector));
+    return add(std::move(route));
+}
+
+std::shared_ptr<stand_ins::proxy_route> faulty_links::make_route(const std::string& upstream)
 {
     const std::size_t colon = upstream.rfind(':');
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(upstream.substr(0, colon)),
         static_cast<std::uint16_t>(std::stoul(upstream.substr(colon + 1))));
+    return std::make_shared<stand_ins::proxy_route>(context_, endpoint);
+}
+
+std::size_t faulty_links::add(std::shared_ptr<stand_ins::proxy_route> route)
+{
     link_entry new_link;
-    new_link.route = std::make_shared<stand_ins::proxy_route>(context_, endpoint);
+    new_link.route = std::move(route);
     new_link.port = new_link.route->start();
     links_.push_back(std::move(new_link));
     return links_.size() - 1;
--- a/soak/faulty_links.hpp
+++ b/soak/faulty_links.hpp
@@ -50,6 +50,12 @@
     /// Precondition: no fault has been injected yet.
     std::size_t open(const std::string& upstream);
 
+    /// Opens a link that keeps half-closed connections and whose upstream connections have the
+    /// source address that `selector` chooses; see `proxy_route`. The selector is called on the
+    /// links' thread. Precondition: as for `open`.
+    std::size_t open_to_engine(const std::string& upstream,
+                               stand_ins::proxy_route::source_selector selector);
+
     /// Address (`IP:PORT`) on which the link accepts connections.
     std::string address(std::size_t link) const;
 
@@ -69,6 +75,9 @@
         std::uint16_t port = 0;
     };
 
+    std::shared_ptr<stand_ins::proxy_route> make_route(const std::string& upstream);
+    std::size_t add(std::shared_ptr<stand_ins::proxy_route> route);
+
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_guard_;
     std::vector<link_entry> links_;
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -28,6 +28,7 @@
     std::size_t run_index = 0;
     std::uint64_t next_event = 0;
     std::uint32_t sent_count = 0;
+    run_pace pace{};
     bool ended = false;
 };
 
@@ -88,6 +89,7 @@
     run.team = received.headers.get(names::team);
     run.had_key = received.headers.find("Authorization") != nullptr;
     run.arrived_at = std::chrono::steady_clock::now();
+    run.caller_address = received.client;
     run.process_started_at = process_started_at_;
     run.said_leaving = leaving_;
     const std::string resume_after = received.headers.get(names::last_event_id);
@@ -97,6 +99,7 @@
     runs_.push_back(run);
     if (is_crashing(received)) {
         runs_.back().crashed = true;
+        runs_.back().ended_at = run.arrived_at;
         down_until_ = std::chrono::steady_clock::now() + down_time_;
         lock.unlock();
         caller->abort();
@@ -105,6 +108,14 @@
     }
     if (unresponsive_) {
         unanswered_calls_.push_back(caller);
+        const std::size_t run_index = runs_.size() - 1;
+        lock.unlock();
+        caller->when_ended([this, alive = alive_, run_index](bool) {
+            if (*alive) {
+                const std::lock_guard end_lock(mutex_);
+                runs_[run_index].ended_at = std::chrono::steady_clock::now();
+            }
+        });
         return;
     }
     const std::string response_request_id = mismatches_request_ids_ ? "another" : run_id;
@@ -112,6 +123,7 @@
                                 {names::signature, "s-" + run_id}};
     add_announcements(headers);
     if (forced_status_ != 0) {
+        runs_.back().ended_at = run.arrived_at;
         caller->send({forced_status_, headers, "failed"});
         return;
     }
@@ -120,6 +132,8 @@
     started->caller = caller;
     started->path = received.target;
     started->run_index = runs_.size() - 1;
+    started->pace =
+        options_.pace ? options_.pace(run_id) : run_pace{.event_interval = options_.event_interval};
     started->next_event = run.resumed_after ? *run.resumed_after + 1 : 0;
     std::erase_if(streams_, [](const auto& each) { return each.expired(); });
     streams_.push_back(started);
@@ -130,8 +144,22 @@
             end_stream(started);
         }
     });
-    caller->start({200, headers});
-    send_next_event(started);
+    if (started->pace.prefill.count() == 0) {
+        start_response(started, headers);
+        return;
+    }
+    loop_.post_after(started->pace.prefill, [this, alive = alive_, started, headers] {
+        if (*alive && !started->ended) {
+            start_response(started, headers);
+        }
+    });
+}
+
+void model_engine::start_response(const std::shared_ptr<stream>& active,
+                                  const http::header_fields& headers)
+{
+    active->caller->start({200, headers});
+    send_next_event(active);
 }
 
 void model_engine::add_announcements(http::header_fields& headers) const
@@ -224,19 +252,26 @@
     active->caller->write(event_text(active->path, active->next_event));
     ++active->next_event;
     ++active->sent_count;
-    loop_.post_after(options_.event_interval, [this, alive = alive_, active] {
+    loop_.post_after(time_to_next_event(*active), [this, alive = alive_, active] {
         if (*alive) {
             send_next_event(active);
         }
     });
 }
 
+std::chrono::milliseconds model_engine::time_to_next_event(const stream& active) const
+{
+    const bool pauses = active.next_event == options_.events / 2;
+    return active.pace.event_interval + (pauses ? active.pace.pause : std::chrono::milliseconds(0));
+}
+
 void model_engine::end_stream(const std::shared_ptr<stream>& active)
 {
     const std::lock_guard lock(mutex_);
     if (!active->ended) {
         active->ended = true;
         --running_count_;
+        runs_[active->run_index].ended_at = std::chrono::steady_clock::now();
         runs_[active->run_index].interrupted = !runs_[active->run_index].finished;
     }
 }
--- a/stand_ins/model_engine.hpp
+++ b/stand_ins/model_engine.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +14,15 @@
 
 namespace gooseberryfall::stand_ins {
 
+/// Times of one run.
+struct run_pace {
+    /// Time before the head of the response.
+    std::chrono::milliseconds prefill{0};
+    std::chrono::milliseconds event_interval{5};
+    /// Additional time before the event in the middle of the stream.
+    std::chrono::milliseconds pause{0};
+};
+
 /// Settings of `model_engine`.
 struct engine_options {
     std::string id;
@@ -20,6 +30,9 @@
     /// Number of events of each stream, and the time between them.
     std::uint32_t events = 10;
     std::chrono::milliseconds event_interval{5};
+    /// Pace of the run with this id; called on the engine's thread. If unset, every run has
+    /// `event_interval` and neither a prefill nor a pause.
+    std::function<run_pace(const std::string& run_id)> pace{};
 };
 
 /// A run that an engine started.
@@ -39,6 +52,10 @@
     /// The engine crashed when it began to answer.
     bool crashed = false;
     std::chrono::steady_clock::time_point arrived_at;
+    /// Unset while the engine works on it.
+    std::optional<std::chrono::steady_clock::time_point> ended_at{};
+    /// Address (`IP:PORT`) of the connection on which it arrived.
+    std::string caller_address{};
     /// Start of the process that ran it, as in the engine's entry.
     std::int64_t process_started_at = 0;
     /// The answer said that the engine leaves.
@@ -110,7 +127,11 @@
     /// Adds what the engine says of itself in all answers. Precondition: `mutex_` is held.
     void add_announcements(http::header_fields& headers) const;
     void handle(const http::request& received, const std::shared_ptr<http::responder>& caller);
+    /// Sends the head of the response and the first event.
+    void start_response(const std::shared_ptr<stream>& active, const http::header_fields& headers);
     void send_next_event(const std::shared_ptr<stream>& active);
+    /// Time between the last event that was sent and the next one.
+    std::chrono::milliseconds time_to_next_event(const stream& active) const;
     void end_stream(const std::shared_ptr<stream>& active);
     /// Whether the prompt has the part that crashes this engine. Precondition: `mutex_` is held.
     bool is_crashing(const http::request& received) const;
--- a/stand_ins/proxy_route.cpp
+++ b/stand_ins/proxy_route.cpp
@@ -107,9 +107,22 @@
     }
 }
 
+void proxy_route::bind_source(session& connection) const
+{
+    boost::system::error_code error;
+    const tcp::endpoint client = connection.client.remote_endpoint(error);
+    if (!select_source_ || error) {
+        return;
+    }
+    const auto source = select_source_(client, acceptor_.local_endpoint().port());
+    connection.upstream.open(upstream_.protocol(), error);
+    connection.upstream.bind(tcp::endpoint(source, 0), error);
+}
+
 asio::awaitable<void> proxy_route::serve(std::shared_ptr<session> connection)
 {
     const auto self = shared_from_this();
+    bind_source(*connection);
     const auto [error] = co_await connection->upstream.async_connect(upstream_, use_tuple);
     if (error) {
         connection->close();
@@ -137,6 +150,9 @@
             timer.expires_after(stall_poll_interval);
             co_await timer.async_wait(use_tuple);
         }
+        if (!to_client && keeps_half_closed_ && read_error == asio::error::eof) {
+            co_return;
+        }
         if (read_error || !to.is_open()) {
             connection->close();
             co_return;
--- a/stand_ins/proxy_route.hpp
+++ b/stand_ins/proxy_route.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -51,6 +52,16 @@
     /// Sets the upstream address of new connections.
     void set_upstream(boost::asio::ip::tcp::endpoint upstream) { upstream_ = std::move(upstream); }
 
+    /// Whether the responses of a call go on when its caller ends its sending side: the upstream
+    /// learns that the caller has gone only from a reset or a failed write.
+    void set_keeps_half_closed(bool keeps) { keeps_half_closed_ = keeps; }
+
+    /// Chooses the local address of an upstream connection by the remote endpoint of its client.
+    /// Precondition: not started.
+    using source_selector = std::function<boost::asio::ip::address(
+        const boost::asio::ip::tcp::endpoint& client, std::uint16_t listening_port)>;
+    void set_source_selector(source_selector selector) { select_source_ = std::move(selector); }
+
     /// Number of connections accepted since the start.
     std::uint64_t accepted_count() const { return accepted_count_; }
 
@@ -58,6 +69,8 @@
     struct session;
 
     boost::asio::awaitable<void> accept_connections();
+    /// Binds the upstream socket to the address that the source selector chooses.
+    void bind_source(session& connection) const;
     boost::asio::awaitable<void> serve(std::shared_ptr<session> connection);
     boost::asio::awaitable<void> forward(std::shared_ptr<session> connection, bool to_client);
 
@@ -65,6 +78,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::endpoint upstream_;
     route_mode mode_ = route_mode::pass;
+    bool keeps_half_closed_ = false;
+    source_selector select_source_;
     std::chrono::milliseconds delay_{0};
     std::uint64_t accepted_count_ = 0;
     std::vector<std::weak_ptr<session>> sessions_;
