soak: check that a run has ended where it was before it goes on elsewhere

Change: one in six runs, by seed, engine and id, has a prefill of 0.4 to 2.2 s, slow events or a pause of 1 to 2.5 s; draws of the existing faults are unchanged. history reports a run that went on at another engine while the engine before worked on it for over 400 ms more. Excused only if the instance that sent the earlier run was interrupted, or the store, its link to it, or the link to that engine was disturbed in the 3 s before. The sender is the process that holds the other end of the connection as the link accepts it; a run whose sender had closed by then is excused by the interruption of any instance, or a disturbance of the whole store or of the engine's link. The summary counts runs that went on elsewhere and runs of unknown senders.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -1,6 +1,12 @@
 #include "soak/daemon_process.hpp"
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <system_error>
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -8,6 +14,34 @@
 
 namespace gooseberryfall::soak {
 
+namespace {
+
+/// Port of an `ADDRESS:PORT` in hexadecimal digits.
+unsigned long parse_port(const std::string& endpoint)
+{
+    return std::stoul(endpoint.substr(endpoint.find(':') + 1), nullptr, 16);
+}
+
+/// Number (inode) of the socket of a TCP connection; empty if there is none.
+std::string find_socket_number(std::uint16_t local_port, std::uint16_t remote_port)
+{
+    std::ifstream connections("/proc/net/tcp");
+    std::string line;
+    std::getline(connections, line);
+    while (std::getline(connections, line)) {
+        std::istringstream fields(line);
+        std::string row, local, remote, state, queues, timer, retransmits, user, timeout, number;
+        fields >> row >> local >> remote >> state >> queues >> timer >> retransmits >> user >>
+            timeout >> number;
+        if (parse_port(local) == local_port && parse_port(remote) == remote_port) {
+            return number;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
 daemon_process::~daemon_process()
 {
     kill();
@@ -66,4 +100,23 @@
     return true;
 }
 
+bool daemon_process::holds_connection(std::uint16_t local_port, std::uint16_t remote_port) const
+{
+    const std::string socket_number = find_socket_number(local_port, remote_port);
+    if (process_id_ <= 0 || socket_number.empty()) {
+        return false;
+    }
+    const std::string wanted = "socket:[" + socket_number + "]";
+    std::error_code error;
+    const std::string descriptors = "/proc/" + std::to_string(process_id_) + "/fd";
+    for (std::filesystem::directory_iterator entry(descriptors, error), end; !error && entry != end;
+         entry.increment(error)) {
+        std::error_code closed_meanwhile;
+        if (std::filesystem::read_symlink(entry->path(), closed_meanwhile) == wanted) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace gooseberryfall::soak
--- a/soak/daemon_process.hpp
+++ b/soak/daemon_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include <sys/types.h>
@@ -31,6 +32,10 @@
     /// Whether the process is running. Reaps it if it has exited.
     bool is_running();
 
+    /// Whether the process holds one end of the TCP connection from local port `local_port` to
+    /// `remote_port`.
+    bool holds_connection(std::uint16_t local_port, std::uint16_t remote_port) const;
+
 private:
     pid_t process_id_ = -1;
 };
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -21,6 +21,22 @@
     return item.substr(0, item.rfind('-'));
 }
 
+std::string describe_sender(const observed_run& run)
+{
+    return run.engine + " (sent by " +
+           (run.instance ? "instance " + std::to_string(*run.instance) : "an unknown instance") +
+           ")";
+}
+
+std::string describe_overlap(const observed_run& earlier, const observed_run& later)
+{
+    const auto overlap =
+        std::chrono::duration_cast<std::chrono::milliseconds>(earlier.ended_at - later.arrived_at);
+    return earlier.request + " went on at " + describe_sender(later) + " while " +
+           describe_sender(earlier) + " worked on it for " + std::to_string(overlap.count()) +
+           " ms more";
+}
+
 } // namespace
 
 void history::add_request(const observed_request& observed)
@@ -67,6 +83,60 @@
     interruptions_[instance].insert(at);
 }
 
+std::size_t history::begin_disturbance(const disturbed_part& part, steady_clock::time_point at)
+{
+    const std::lock_guard lock(mutex_);
+    disturbances_.push_back({part, at});
+    return disturbances_.size() - 1;
+}
+
+void history::end_disturbance(std::size_t number, steady_clock::time_point at)
+{
+    const std::lock_guard lock(mutex_);
+    disturbances_[number].end = at;
+}
+
+bool history::was_out_of_touch(const observed_run& run, steady_clock::time_point at) const
+{
+    const auto begin = at - out_of_touch_time;
+    // A process that ends before its connection is accepted leaves a run whose sender isn't known.
+    const bool interrupted =
+        std::any_of(interruptions_.begin(), interruptions_.end(), [&](const auto& entry) {
+            return (!run.instance || run.instance == entry.first) &&
+                   was_interrupted(entry.first, begin, at);
+        });
+    if (interrupted) {
+        return true;
+    }
+    return std::any_of(disturbances_.begin(), disturbances_.end(), [&](const disturbance& each) {
+        const bool affects_sender = !each.part.instance || each.part.instance == run.instance;
+        const bool affects_engine = each.part.engine.empty() || each.part.engine == run.engine;
+        return affects_sender && affects_engine && each.begin <= at && each.end >= begin;
+    });
+}
+
+std::vector<std::string> history::check_overlaps(const std::vector<observed_run>& runs) const
+{
+    std::map<std::string, std::vector<const observed_run*>> runs_of;
+    for (const observed_run& run : runs) {
+        runs_of[run.request].push_back(&run);
+    }
+    std::vector<std::string> violations;
+    for (const auto& [request, all] : runs_of) {
+        for (const observed_run* earlier : all) {
+            for (const observed_run* later : all) {
+                const auto due_at = later->arrived_at + overlap_max;
+                if (later->engine == earlier->engine || later->arrived_at < earlier->arrived_at ||
+                    earlier->ended_at <= due_at || was_out_of_touch(*earlier, due_at)) {
+                    continue;
+                }
+                violations.push_back(describe_overlap(*earlier, *later));
+            }
+        }
+    }
+    return violations;
+}
+
 bool history::was_interrupted(std::size_t instance, steady_clock::time_point begin,
                               steady_clock::time_point end) const
 {
@@ -171,6 +241,9 @@
     for (std::string& violation : check_leaving(runs)) {
         violations.push_back(std::move(violation));
     }
+    for (std::string& violation : check_overlaps(runs)) {
+        violations.push_back(std::move(violation));
+    }
     std::map<std::string, int> run_counts;
     std::set<std::string> jobs_run;
     for (const observed_run& run : runs) {
@@ -224,6 +297,18 @@
     return violations;
 }
 
+std::map<std::string, int> history::run_counts(const std::vector<observed_run>& runs)
+{
+    std::map<std::string, int> result{{"continued runs", 0}, {"runs of unknown senders", 0}};
+    std::map<std::string, std::set<std::string>> engines_of;
+    for (const observed_run& run : runs) {
+        result["runs of unknown senders"] += run.instance ? 0 : 1;
+        auto& engines = engines_of[run.request];
+        result["continued runs"] += engines.insert(run.engine).second && engines.size() > 1 ? 1 : 0;
+    }
+    return result;
+}
+
 std::map<std::string, int> history::accepted_job_sizes() const
 {
     const std::lock_guard lock(mutex_);
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,11 +45,26 @@
     bool said_leaving = false;
     /// Whether the engine crashed under it.
     bool crashed = false;
+    /// When the engine stopped working on it.
+    std::chrono::steady_clock::time_point ended_at{};
+    /// Number of the instance that sent it; unset if it isn't known.
+    std::optional<std::size_t> instance{};
 };
 
 /// Time after which an instance that has passed on that an engine leaves sends it nothing more.
 constexpr std::chrono::milliseconds leaving_grace{2000};
 
+/// Time for which an engine may still work on a run that goes on at another engine.
+constexpr std::chrono::milliseconds overlap_max{400};
+/// Time after a disturbance for which an instance need not end the runs that go on elsewhere.
+constexpr std::chrono::milliseconds out_of_touch_time{3000};
+
+/// What a disturbance affects: an instance, an engine, or all instances if both are unset.
+struct disturbed_part {
+    std::optional<std::size_t> instance{};
+    std::string engine{};
+};
+
 /// Requests with a part that crashes engines that may reach engines after `crashes_to_recognise`
 /// crashes and `settle_time`.
 constexpr std::size_t late_crashes_max = 3;
@@ -77,6 +93,13 @@
     /// know any more what it knew before.
     void add_interruption(std::size_t instance, std::chrono::steady_clock::time_point at);
 
+    /// Records the begin of a disturbance of the links of an instance to the store or of the
+    /// instances to an engine, of the store, or of a process that is suspended. Returns its number.
+    std::size_t begin_disturbance(const disturbed_part& part,
+                                  std::chrono::steady_clock::time_point at);
+    /// Records the end of a disturbance. Precondition: `number` was returned before.
+    void end_disturbance(std::size_t number, std::chrono::steady_clock::time_point at);
+
     /// Checks a time without other faults in which requests with a part came that crashes engines.
     /// Returns a sentence for each violation.
     std::vector<std::string> check_crashing_part(const std::vector<observed_run>& runs,
@@ -88,6 +111,10 @@
     std::vector<std::string> check(const std::vector<observed_run>& runs,
                                    const std::string& expected_body) const;
 
+    /// Number of runs that went on at another engine (`continued runs`), and of runs whose sender
+    /// isn't known, for the summary.
+    static std::map<std::string, int> run_counts(const std::vector<observed_run>& runs);
+
     /// Number of items of each accepted job, by job id.
     std::map<std::string, int> accepted_job_sizes() const;
 
@@ -110,12 +137,23 @@
     /// Requests that reached a leaving engine although their instance knew. Precondition: `mutex_`
     /// is held.
     std::vector<std::string> check_leaving(const std::vector<observed_run>& runs) const;
+    /// Runs that went on at an engine while the engine before still worked on them. Precondition:
+    /// `mutex_` is held.
+    std::vector<std::string> check_overlaps(const std::vector<observed_run>& runs) const;
+    /// Whether the sender of a run need not have ended it by `at`. Precondition: `mutex_` is held.
+    bool was_out_of_touch(const observed_run& run, std::chrono::steady_clock::time_point at) const;
     bool was_interrupted(std::size_t instance, std::chrono::steady_clock::time_point begin,
                          std::chrono::steady_clock::time_point end) const;
 
     std::string team_;
     mutable std::mutex mutex_;
     std::map<std::size_t, std::set<std::chrono::steady_clock::time_point>> interruptions_;
+    struct disturbance {
+        disturbed_part part;
+        std::chrono::steady_clock::time_point begin;
+        std::chrono::steady_clock::time_point end = std::chrono::steady_clock::time_point::max();
+    };
+    std::vector<disturbance> disturbances_;
     std::vector<observed_request> requests_;
     std::map<std::string, observed_job> jobs_;
     std::vector<std::string> violations_;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -8,10 +8,12 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace gooseberryfall::soak {
 
@@ -46,6 +48,30 @@
 /// One of so many requests of a caller has the part that crashes engines.
 constexpr int crashing_part_period = 8;
 
+/// The pace of so many runs is drawn from slow ones; the others have `usual_event_interval`.
+constexpr std::size_t slow_run_period = 6;
+constexpr milliseconds usual_event_interval{15};
+
+/// Links to engines connect from `127.0.0.N`, where N is the number of the sending instance and
+/// this one.
+constexpr unsigned sender_address_base = 100;
+
+boost::asio::ip::address make_sender_address(std::optional<std::size_t> instance)
+{
+    const auto last = instance ? sender_address_base + static_cast<unsigned>(*instance) : 1U;
+    return boost::asio::ip::make_address("127.0.0." + std::to_string(last));
+}
+
+std::optional<std::size_t> parse_sender_address(const std::string& endpoint)
+{
+    const std::size_t begin = endpoint.find_last_of('.') + 1;
+    const unsigned long last = std::stoul(endpoint.substr(begin));
+    if (last < sender_address_base) {
+        return std::nullopt;
+    }
+    return last - sender_address_base;
+}
+
 std::string crashing_part_name(unsigned number)
 {
     return "deadly-" + std::to_string(number);
@@ -88,9 +114,13 @@
         stand_ins::engine_options engine;
         engine.id = "engine-" + std::to_string(index);
         engine.events = events_per_stream;
-        engine.event_interval = milliseconds(15);
+        engine.pace = [this, index](const std::string& run_id) { return draw_pace(index, run_id); };
         engines_.push_back(std::make_unique<stand_ins::model_engine>(engine));
-        engine_links_.push_back(links_.open(engines_.back()->address()));
+        engine_links_.push_back(links_.open_to_engine(
+            engines_.back()->address(),
+            [this](const boost::asio::ip::tcp::endpoint& client, std::uint16_t link_port) {
+                return make_sender_address(find_sender(client.port(), link_port));
+            }));
         store_.put(names::target_topic, engine.id,
                    engines_.back()->target_entry(false, links_.address(engine_links_.back())));
     }
@@ -106,6 +136,59 @@
 
 soak_run::~soak_run() = default;
 
+stand_ins::run_pace soak_run::draw_pace(std::size_t engine, const std::string& run_id) const
+{
+    // A separate generator keeps the faults of a seed unchanged.
+    std::mt19937_64 random(options_.seed * 1000 + 994 +
+                           std::hash<std::string>()(run_id + '@' + std::to_string(engine)));
+    stand_ins::run_pace pace{.event_interval = usual_event_interval};
+    if (run_id.empty() || draw(random, slow_run_period) != 0) {
+        return pace;
+    }
+    switch (draw(random, 3)) {
+    case 0:
+        pace.prefill = milliseconds(400 + draw(random, 1800));
+        break;
+    case 1:
+        pace.event_interval = milliseconds(50 + draw(random, 150));
+        break;
+    default:
+        pace.pause = milliseconds(1000 + draw(random, 1500));
+    }
+    return pace;
+}
+
+std::optional<std::size_t> soak_run::find_sender(std::uint16_t sender_port, std::uint16_t link_port)
+{
+    const std::lock_guard lock(daemons_mutex_);
+    for (std::size_t index = 0; index < daemons_.size(); ++index) {
+        if (daemons_[index]->holds_connection(sender_port, link_port)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void soak_run::disturb_store(std::optional<std::size_t> instance, listener_mode mode)
+{
+    store_disturbances_.push_back(
+        history_.begin_disturbance({.instance = instance}, steady_clock::now()));
+    if (instance) {
+        store_.set_mode(store_listeners_[*instance], mode);
+    }
+    else {
+        store_.set_all_modes(mode);
+    }
+}
+
+void soak_run::restore_store()
+{
+    store_.set_all_modes(listener_mode::normal);
+    for (const std::size_t number : std::exchange(store_disturbances_, {})) {
+        history_.end_disturbance(number, steady_clock::now());
+    }
+}
+
 std::string soak_run::address(std::size_t instance, int port) const
 {
     // The process id selects the addresses, so that concurrent runs use different ones.
@@ -271,7 +354,9 @@
                 continue;
             }
             runs.push_back({run.run_id, run.team, run.had_key, engine->id(), run.process_started_at,
-                            run.arrived_at, run.said_leaving, run.crashed});
+                            run.arrived_at, run.said_leaving, run.crashed,
+                            run.ended_at.value_or(steady_clock::now()),
+                            parse_sender_address(run.caller_address)});
         }
     }
     return runs;
@@ -417,6 +502,16 @@
     }
 }
 
+void soak_run::pause(std::size_t instance, milliseconds duration)
+{
+    const std::size_t disturbance =
+        history_.begin_disturbance({.instance = instance}, steady_clock::now());
+    send_signal(instance, SIGSTOP);
+    std::this_thread::sleep_for(duration);
+    send_signal(instance, SIGCONT);
+    history_.end_disturbance(disturbance, steady_clock::now());
+}
+
 std::string soak_run::inject_random_fault(std::mt19937_64& random)
 {
     const std::size_t instance = draw(random, options_.instances);
@@ -428,27 +523,25 @@
         send_signal(instance, SIGKILL);
         return "kill and restart" + of_instance;
     case 1:
-        send_signal(instance, SIGSTOP);
-        std::this_thread::sleep_for(milliseconds(300 + draw(random, 3500)));
-        send_signal(instance, SIGCONT);
+        pause(instance, milliseconds(300 + draw(random, 3500)));
         return "pause" + of_instance;
     case 2:
         send_signal(instance, SIGTERM);
         return "termination" + of_instance;
     case 3:
-        store_.set_mode(store_listeners_[instance], listener_mode::rejecting);
+        disturb_store(instance, listener_mode::rejecting);
         return "store rejects calls" + of_instance;
     case 4:
-        store_.set_mode(store_listeners_[instance], listener_mode::unresponsive);
+        disturb_store(instance, listener_mode::unresponsive);
         return "store does not respond to calls" + of_instance;
     case 5:
-        store_.set_all_modes(listener_mode::dropping_responses);
+        disturb_store(std::nullopt, listener_mode::dropping_responses);
         return "store drops responses to writes";
     case 6:
-        store_.set_all_modes(listener_mode::rejecting);
+        disturb_store(std::nullopt, listener_mode::rejecting);
         return "store rejects all calls";
     case 7:
-        store_.set_all_modes(listener_mode::normal);
+        restore_store();
         return "store is available again";
     case 8:
         store_.compact();
@@ -493,18 +586,30 @@
     struct link_group {
         const std::vector<std::size_t>* links;
         const char* description;
+        /// What isn't in touch while a link is disturbed.
+        std::function<std::optional<disturbed_part>(std::size_t link_index)> disturbed;
     };
-    const std::array<link_group, 3> groups{{{&caller_links_, " to instance "},
-                                            {&store_links_, " to the store of instance "},
-                                            {&engine_links_, " to engine "}}};
+    const std::array<link_group, 3> groups{
+        {{&caller_links_, " to instance ", [](std::size_t) { return std::nullopt; }},
+         {&store_links_, " to the store of instance ",
+          [](std::size_t index) { return disturbed_part{.instance = index}; }},
+         {&engine_links_, " to engine ",
+          [this](std::size_t index) { return disturbed_part{.engine = engines_[index]->id()}; }}}};
     while (!faults_over_) {
         const link_group& group = groups[draw(random, groups.size())];
         const std::size_t link_index = draw(random, group.links->size());
         const auto fault = static_cast<link_fault>(draw(random, link_fault_count));
+        std::optional<std::size_t> disturbance;
+        if (const auto part = group.disturbed(link_index)) {
+            disturbance = history_.begin_disturbance(*part, steady_clock::now());
+        }
         links_.inject((*group.links)[link_index], fault, milliseconds(50 + draw(random, 400)));
         log_event(to_text(fault) + std::string(group.description) + std::to_string(link_index));
         std::this_thread::sleep_for(milliseconds(200 + draw(random, 2500)));
         links_.clear_fault((*group.links)[link_index]);
+        if (disturbance) {
+            history_.end_disturbance(*disturbance, steady_clock::now());
+        }
         std::this_thread::sleep_for(milliseconds(draw(random, 800)));
     }
 }
@@ -512,7 +617,7 @@
 void soak_run::clear_faults()
 {
     links_.clear_all_faults();
-    store_.set_all_modes(listener_mode::normal);
+    restore_store();
     faults_over_ = true;
 }
 
@@ -586,9 +691,13 @@
     for (std::thread& thread : threads) {
         thread.join();
     }
-    for (const std::string& violation : history_.check(observed_runs(), "expected")) {
+    const std::vector<observed_run> runs = observed_runs();
+    for (const std::string& violation : history_.check(runs, "expected")) {
         violations.push_back(violation);
     }
+    for (const auto& [name, count] : history::run_counts(runs)) {
+        log_event(name + ": " + std::to_string(count));
+    }
     for (const auto& [name, count] : history_.outcome_counts()) {
         log_event(name + ": " + std::to_string(count));
     }
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -57,6 +58,14 @@
     /// change while the daemon runs.
     std::string settings_text(std::size_t instance, std::uint64_t variant) const;
     void write_settings(std::size_t instance, const std::string& text) const;
+    /// Pace of a run at an engine: determined by the seed, the engine and the run's id.
+    stand_ins::run_pace draw_pace(std::size_t engine, const std::string& run_id) const;
+    /// Number of the instance that holds the other end of a connection to a link; empty if none
+    /// does any more.
+    std::optional<std::size_t> find_sender(std::uint16_t sender_port, std::uint16_t link_port);
+    /// Sets the mode of the store's listener of one instance, or of all if `instance` is empty.
+    void disturb_store(std::optional<std::size_t> instance, stand_ins::listener_mode mode);
+    void restore_store();
     /// Rewrites settings files until the faults end: with or without SIGHUP, and some of them in
     /// two steps, so that a daemon may read a truncated file.
     void inject_settings_changes();
@@ -90,6 +99,8 @@
     void inject_faults();
     /// Injects one fault and returns its description.
     std::string inject_random_fault(std::mt19937_64& random);
+    /// Suspends the process of an instance.
+    void pause(std::size_t instance, std::chrono::milliseconds duration);
     /// Injects network faults concurrently with the other faults until those end.
     void inject_link_faults();
     /// Ends the faults of all links and of the store.
@@ -109,15 +120,18 @@
     stand_ins::log_store store_{2};
     /// Index of the store's listener for each instance.
     std::vector<std::size_t> store_listeners_;
+    // Before the links, whose thread looks up senders until it ends.
+    std::vector<std::unique_ptr<daemon_process>> daemons_;
+    std::mutex daemons_mutex_;
     faulty_links links_;
     /// Links from the callers to each instance, from each instance to the store, and from the
     /// instances to each engine.
     std::vector<std::size_t> caller_links_;
     std::vector<std::size_t> store_links_;
     std::vector<std::size_t> engine_links_;
+    /// Numbers of the disturbances of the store that haven't ended.
+    std::vector<std::size_t> store_disturbances_;
     std::vector<std::unique_ptr<stand_ins::model_engine>> engines_;
-    std::vector<std::unique_ptr<daemon_process>> daemons_;
-    std::mutex daemons_mutex_;
     std::atomic<bool> faults_over_{false};
     std::atomic<bool> stopping_{false};
     std::atomic<unsigned> crashing_part_{0};
--- a/tests/soak/history_test.cpp
+++ b/tests/soak/history_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <string>
 
 namespace soak = gooseberryfall::soak;
@@ -172,3 +173,79 @@
 {
     cr_assert_eq(crash_violations(5, milliseconds(100), 4).size(), 1U);
 }
+
+namespace {
+
+/// Violations if instance 0 sent a run at engine `e` that ends this long after it went on at
+/// another engine.
+std::size_t overlap_violations(soak::history& observed, milliseconds overlap,
+                               const std::string& second_engine = "f",
+                               std::optional<std::size_t> sender = 0)
+{
+    const milliseconds second_at(1000);
+    soak::observed_run first = run_at("j-0", milliseconds(0), false);
+    first.ended_at = start + second_at + overlap;
+    first.instance = sender;
+    soak::observed_run second = run_at("j-0", second_at, false);
+    second.engine = second_engine;
+    second.ended_at = start + second_at;
+    second.instance = 1;
+    return check(observed, {second, first}).size();
+}
+
+/// The same for an overlap that breaks the check, beside a disturbance that lasts from `begin` to
+/// `end`.
+std::size_t disturbed_overlap_violations(const soak::disturbed_part& part, milliseconds begin,
+                                         milliseconds end)
+{
+    soak::history observed("t");
+    observed.end_disturbance(observed.begin_disturbance(part, start + begin), start + end);
+    return overlap_violations(observed, 2 * soak::overlap_max);
+}
+
+} // namespace
+
+Test(history, reports_a_run_that_goes_on_while_the_engine_before_works_on_it)
+{
+    soak::history broken("t");
+    cr_assert_eq(overlap_violations(broken, soak::overlap_max + milliseconds(1)), 1U);
+    soak::history kept("t");
+    cr_assert_eq(overlap_violations(kept, soak::overlap_max), 0U);
+    soak::history same_engine("t");
+    cr_assert_eq(overlap_violations(same_engine, 2 * soak::overlap_max, "e"), 0U);
+}
+
+Test(history, excuses_the_overlap_of_an_instance_that_was_out_of_touch)
+{
+    // The overlap breaks the check 1400 ms after the start.
+    const milliseconds due_at = milliseconds(1000) + soak::overlap_max;
+    const milliseconds last_excused = due_at - soak::out_of_touch_time;
+    const milliseconds before = last_excused - milliseconds(1);
+    for (const soak::disturbed_part& part :
+         {soak::disturbed_part{}, soak::disturbed_part{0, ""}, soak::disturbed_part{{}, "e"}}) {
+        cr_assert_eq(disturbed_overlap_violations(part, before, last_excused), 0U);
+        cr_assert_eq(disturbed_overlap_violations(part, before, before), 1U);
+        cr_assert_eq(disturbed_overlap_violations(part, due_at, due_at), 0U);
+        cr_assert_eq(
+            disturbed_overlap_violations(part, due_at + milliseconds(1), due_at + milliseconds(2)),
+            1U);
+    }
+    cr_assert_eq(disturbed_overlap_violations({1, ""}, milliseconds(0), due_at), 1U);
+    cr_assert_eq(disturbed_overlap_violations({{}, "f"}, milliseconds(0), due_at), 1U);
+    soak::history interrupted("t");
+    interrupted.add_interruption(0, start + last_excused);
+    cr_assert_eq(overlap_violations(interrupted, 2 * soak::overlap_max), 0U);
+    soak::history interrupted_before("t");
+    interrupted_before.add_interruption(0, start + before);
+    cr_assert_eq(overlap_violations(interrupted_before, 2 * soak::overlap_max), 1U);
+}
+
+Test(history, excuses_the_overlap_of_an_unknown_sender_if_a_process_has_ended)
+{
+    soak::history interrupted("t");
+    interrupted.add_interruption(2, start);
+    cr_assert_eq(overlap_violations(interrupted, 2 * soak::overlap_max, "f", std::nullopt), 0U);
+    cr_assert_eq(overlap_violations(interrupted, 2 * soak::overlap_max, "f", 0), 1U);
+    soak::history undisturbed("t");
+    cr_assert_eq(overlap_violations(undisturbed, 2 * soak::overlap_max, "f", std::nullopt), 1U);
+}
