--- a/tests/edge/abandoned_runs_test.cpp
+++ b/tests/edge/abandoned_runs_test.cpp
@@ -1,7 +1,7 @@
 /// Tests that a run which goes on at another target has ended at the one before.
 
 #include "edge/edge_deployment.hpp"
-#include "edge/raw_target.hpp"
+#include "edge/raw_server.hpp"
 #include "platform/names.hpp"
 
 #include <criterion/criterion.h>
@@ -25,6 +25,7 @@
 
 /// Time that a target may still work on a run after it went on elsewhere.
 constexpr milliseconds overlap_max{400};
+constexpr int slots = 8;
 
 /// A complete response to another request, after which the connection stays open.
 std::string foreign_response()
@@ -47,33 +48,18 @@
     std::optional<steady_clock::time_point> ended_at;
 };
 
-/// A target that works on each request until its connection is reset. It takes the end of the
-/// caller's sending side for a caller that still reads. Thread-safe.
+/// A target that works on the first request of each connection until the connection is reset. It
+/// takes the end of the caller's sending side for a caller that still reads. Thread-safe.
 class tenacious_target {
 public:
     explicit tenacious_target(std::string first_bytes)
-        : first_bytes_(std::move(first_bytes)), acceptor_([this] { accept_connections(); })
+        : first_bytes_(std::move(first_bytes)),
+          server_([this](const raw_connection& connection) { serve(connection); })
     {
     }
-    ~tenacious_target()
-    {
-        stopping_ = true;
-        raw_connection::connect_to(listener_.port());
-        acceptor_.join();
-        const std::lock_guard lock(threads_mutex_);
-        threads_.clear();
-    }
-    tenacious_target(const tenacious_target&) = delete;
-    tenacious_target& operator=(const tenacious_target&) = delete;
-    tenacious_target(tenacious_target&&) = delete;
-    tenacious_target& operator=(tenacious_target&&) = delete;
 
     /// Entry of this target in the store.
-    std::string entry() const
-    {
-        return R"({"service":"lm","address":")" + listener_.address() +
-               R"(","zone":"a","slots":8,"state":"ready","sequence":1,"born":1000})";
-    }
+    std::string entry() const { return server_.target_entry(slots); }
 
     std::vector<work> all_work() const
     {
@@ -82,33 +68,22 @@
     }
 
 private:
-    void accept_connections()
-    {
-        while (!stopping_) {
-            raw_connection accepted = listener_.accept();
-            const std::lock_guard lock(threads_mutex_);
-            threads_.emplace_back([this, connection = std::move(accepted)] { serve(connection); });
-        }
-    }
-
     void serve(const raw_connection& connection)
     {
-        const std::string head = connection.receive_until("\r\n\r\n");
-        const std::string name = std::string(names::request_id) + ": ";
-        const std::size_t begin = head.find(name);
-        if (begin == std::string::npos) {
+        const std::string id_line =
+            raw_server::request_id_line(connection.receive_until("\r\n\r\n"));
+        if (id_line.empty()) {
             return;
         }
-        const std::string request =
-            head.substr(begin + name.size(), head.find("\r\n", begin) - begin - name.size());
         std::size_t index = 0;
         {
             const std::lock_guard lock(mutex_);
             index = work_.size();
-            work_.push_back({request, steady_clock::now(), std::nullopt});
+            work_.push_back(
+                {id_line.substr(id_line.find(' ') + 1), steady_clock::now(), std::nullopt});
         }
         connection.send(first_bytes_);
-        while (!stopping_ && !connection.is_reset()) {
+        while (!server_.is_stopping() && !connection.is_reset()) {
             std::this_thread::sleep_for(milliseconds(5));
         }
         const std::lock_guard lock(mutex_);
@@ -116,65 +91,34 @@
     }
 
     std::string first_bytes_;
-    raw_listener listener_;
-    std::atomic<bool> stopping_{false};
     mutable std::mutex mutex_;
     std::vector<work> work_;
-    std::mutex threads_mutex_;
-    std::list<std::jthread> threads_;
-    std::thread acceptor_;
+    raw_server server_;
 };
 
 /// A target that rejects the first request on each connection, and on the next one repeats that
 /// response before it works. Thread-safe.
 class repeating_target {
 public:
-    repeating_target() : acceptor_([this] { accept_connections(); }) {}
-    ~repeating_target()
-    {
-        stopping_ = true;
-        raw_connection::connect_to(listener_.port());
-        acceptor_.join();
-        const std::lock_guard lock(threads_mutex_);
-        threads_.clear();
-    }
-    repeating_target(const repeating_target&) = delete;
-    repeating_target& operator=(const repeating_target&) = delete;
-    repeating_target(repeating_target&&) = delete;
-    repeating_target& operator=(repeating_target&&) = delete;
+    repeating_target() : server_([this](const raw_connection& connection) { serve(connection); }) {}
 
     /// Entry of this target in the store.
-    std::string entry() const
-    {
-        return R"({"service":"lm","address":")" + listener_.address() +
-               R"(","zone":"a","slots":8,"state":"ready","sequence":1,"born":1000})";
-    }
+    std::string entry() const { return server_.target_entry(slots); }
 
     /// Number of requests on which it has worked after the repeated response.
     int misled_count() const { return misled_; }
     int rejected_count() const { return rejected_; }
 
 private:
-    void accept_connections()
-    {
-        while (!stopping_) {
-            raw_connection accepted = listener_.accept();
-            const std::lock_guard lock(threads_mutex_);
-            threads_.emplace_back([this, connection = std::move(accepted)] { serve(connection); });
-        }
-    }
-
     void serve(const raw_connection& connection)
     {
-        const std::string request = connection.receive_until("\r\n\r\n");
-        const std::string name = std::string(names::request_id) + ": ";
-        const std::size_t begin = request.find(name);
-        if (begin == std::string::npos) {
+        const std::string id_line =
+            raw_server::request_id_line(connection.receive_until("\r\n\r\n"));
+        if (id_line.empty()) {
             return;
         }
-        const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\n" +
-                                      request.substr(begin, request.find("\r\n", begin) - begin) +
-                                      "\r\n" + names::not_run + ": 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\n" + id_line + "\r\n" +
+                                      names::not_run + ": 1\r\nContent-Length: 0\r\n\r\n";
         ++rejected_;
         connection.send(rejection);
         if (connection.receive_until("\r\n\r\n").empty()) {
@@ -184,13 +128,9 @@
         connection.send(rejection);
     }
 
-    raw_listener listener_;
-    std::atomic<bool> stopping_{false};
     std::atomic<int> rejected_{0};
     std::atomic<int> misled_{0};
-    std::mutex threads_mutex_;
-    std::list<std::jthread> threads_;
-    std::thread acceptor_;
+    raw_server server_;
 };
 
 /// Work of all targets on a request, in the order in which it began.
