--- a/src/serving/slot_scheduler.cpp
+++ b/src/serving/slot_scheduler.cpp
@@ -28,7 +28,7 @@
 /// Least number of usable slots for the interval at which slots become free.
 constexpr double usable_slots_min = 0.1;
 /// Duration of an online request, until it has been measured.
-constexpr double default_online_ms = 1000;
+constexpr core::duration default_online_duration = std::chrono::seconds(1);
 /// Lower bound of a run's expected remaining time, however long it has lasted.
 constexpr milliseconds remaining_min{20};
 /// Callers observe a retry delay of at most the time to their deadline divided by this.
@@ -183,9 +183,10 @@
     return slots > target.running ? slots - target.running : 0;
 }
 
-double slot_scheduler::mean_online_seconds(const service_pool& pool) const
+core::duration slot_scheduler::mean_online_duration(const service_pool& pool) const
 {
-    return (pool.online_duration == 0 ? default_online_ms : pool.online_duration) / 1000;
+    return pool.online_duration == 0 ? default_online_duration
+                                     : from_milliseconds(pool.online_duration);
 }
 
 double slot_scheduler::usable_slots(const service_pool& pool, core::time_point now) const
@@ -200,9 +201,11 @@
 double slot_scheduler::busy_slots_max(const service_pool& pool, const target_state& target) const
 {
     const double slots = target.entry.slots;
-    return target.rate.is_limited()
-               ? std::min(slots, target.rate.rate() * mean_online_seconds(pool))
-               : slots;
+    if (!target.rate.is_limited()) {
+        return slots;
+    }
+    const std::chrono::duration<double> duration = mean_online_duration(pool);
+    return std::min(slots, target.rate.rate() * duration.count());
 }
 
 void slot_scheduler::count_foreign_request(const core::target_id& target, core::time_point now)
@@ -308,7 +311,8 @@
                             slot_rejection_reason reason, slot_decisions& out)
 {
     const double slots = std::max(usable_slots_min, usable_slots(pool, now));
-    const core::duration interval = from_milliseconds(mean_online_seconds(pool) * 1000 / slots);
+    const auto interval = std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double>(mean_online_duration(pool)) / slots);
     const milliseconds delay = pool.retries.next_delay(now, interval, retry_delay_max(request));
     out.emplace_back(slot_rejection{request.key, reason, delay});
 }
--- a/src/serving/slot_scheduler.hpp
+++ b/src/serving/slot_scheduler.hpp
@@ -315,7 +315,7 @@
     double usable_slots(const service_pool& pool, core::time_point now) const;
     /// Slots of a target that requests can keep busy within its rate limit.
     double busy_slots_max(const service_pool& pool, const target_state& target) const;
-    double mean_online_seconds(const service_pool& pool) const;
+    core::duration mean_online_duration(const service_pool& pool) const;
     /// Whether a batch item is expected to be abandoned before the end of its run.
     bool expires_during_run(const service_pool& pool, const queued_request& queued,
                             core::time_point now) const;
--- a/src/serving/target_rate.cpp
+++ b/src/serving/target_rate.cpp
@@ -10,6 +10,11 @@
 /// Bounds rounding errors of the level.
 constexpr double tolerance = 1e-6;
 
+double to_seconds(core::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 } // namespace
 
 void target_rate::set(std::optional<double> rate, double share, core::time_point now)
@@ -41,12 +46,13 @@
 
 double target_rate::capacity() const
 {
-    return std::max(1.0, refill_rate() * settings_.burst_seconds + settings_.burst_extra * share_);
+    return std::max(1.0, refill_rate() * to_seconds(settings_.burst_time) +
+                             settings_.burst_extra * share_);
 }
 
 double target_rate::initial_level() const
 {
-    return refill_rate() * settings_.shared_window_seconds + tolerance >= 1 ? 1 : 0;
+    return refill_rate() * to_seconds(settings_.shared_window) + tolerance >= 1 ? 1 : 0;
 }
 
 double target_rate::level(core::time_point now) const
@@ -54,7 +60,7 @@
     if (!rate_) {
         return 0;
     }
-    const double elapsed = std::chrono::duration<double>(now - updated_at_).count();
+    const double elapsed = to_seconds(now - updated_at_);
     return std::min(level_ + std::max(0.0, elapsed) * refill_rate(), capacity());
 }
 
--- a/src/serving/target_rate.hpp
+++ b/src/serving/target_rate.hpp
@@ -2,6 +2,7 @@
 
 #include "core/types.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 
@@ -13,11 +14,11 @@
     /// and some more. Load comes in steps of a few seconds, and targets bear half as much again as
     /// they name, and five requests, within four seconds. What remains of that is for requests that
     /// reach a target later than others.
-    double burst_seconds = 1.6;
+    std::chrono::milliseconds burst_time{1600};
     double burst_extra = 3.0;
     /// Time in which an instance that shares the rate with others must be allowed a request by its
     /// share alone, to send one without having waited for it.
-    double shared_window_seconds = 4.0;
+    std::chrono::milliseconds shared_window{4000};
     /// A target gets a request this often, however low its rate is: only its answers tell whether
     /// the limit still holds.
     double rate_min = 0.25;
