--- a/tests/edge/edge_node_test.cpp
+++ b/tests/edge/edge_node_test.cpp
@@ -1037,8 +1037,10 @@
         deployment.wait_until_idle();
         // If the first one led, requests at the other one wait until it leads.
         deployment.kill(first);
+        constexpr int request_count = 4;
         std::vector<std::future<http::call_result>> requests;
-        for (int number = 0; number < 4; ++number) {
+        requests.reserve(request_count);
+        for (int number = 0; number < request_count; ++number) {
             requests.push_back(std::async(std::launch::async, [&, number] {
                 return deployment.stream(1 - first, "r" + std::to_string(number));
             }));
--- a/tests/edge/job_calls_test.cpp
+++ b/tests/edge/job_calls_test.cpp
@@ -34,8 +34,11 @@
     for (std::size_t item = 0; item < large_item_count; ++item) {
         const std::string id = job + "-" + std::to_string(item);
         body += item == 0 ? "" : ",";
-        body += R"({"id":")" + id + R"(","path":"/idle/x","headers":{},"tokens":1,"body":")" +
-                encoded_body + R"("})";
+        body += R"({"id":")";
+        body += id;
+        body += R"(","path":"/idle/x","headers":{},"tokens":1,"body":")";
+        body += encoded_body;
+        body += R"("})";
     }
     body += "]}";
     cr_assert(body.size() <= bytes);
@@ -56,10 +59,12 @@
 bool has_large_items(edge_deployment& deployment, std::size_t instance, const std::string& job)
 {
     for (std::size_t item = 0; item < large_item_count; ++item) {
-        const auto response = deployment.call(instance, "GET",
-                                              names::item_path_prefix + job + "?id=" + job + "-" +
-                                                  std::to_string(item),
-                                              {{"Authorization", "Bearer key-a"}});
+        std::string path = names::item_path_prefix + job;
+        path += "?id=";
+        path += job;
+        path += "-" + std::to_string(item);
+        const auto response =
+            deployment.call(instance, "GET", path, {{"Authorization", "Bearer key-a"}});
         if (response.head.status != 200 || response.body.size() < (8U << 20U) ||
             response.body.find_first_not_of('X') != std::string::npos) {
             return false;
