edge: one check for the status of a success

Cause: is_own_response wrote again what online_exchange had as is_success. Change: is_success stands in target_call, and both call it. Behaviour stays. Measured: formatter and linter clean on the three files; edge_node 41 of 41, abandoned_runs 5, resumed_streams 1, limited_targets 4, run_limits 2, endless_responses 4 cases pass.

--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -26,11 +26,6 @@
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
 }
 
-bool is_success(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 milliseconds response_time_limit(const serving::route& route, const caller_request& request)
--- a/src/edge/target_call.cpp
+++ b/src/edge/target_call.cpp
@@ -14,10 +14,14 @@
     request.timeouts.between_bytes = time_left;
 }
 
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 bool is_own_response(const target_response_flags& flags, unsigned status)
 {
-    const bool is_success = status >= 200 && status < 300;
-    return flags.matches_request && (!is_success || flags.signed_by_target);
+    return flags.matches_request && (!is_success(status) || flags.signed_by_target);
 }
 
 serving::slot_outcome to_slot_outcome(http::call_outcome outcome)
--- a/src/edge/target_call.hpp
+++ b/src/edge/target_call.hpp
@@ -13,6 +13,9 @@
 void set_time_limits(http::client_request& request, const target_timeouts& timeouts,
                      std::chrono::milliseconds time_left);
 
+/// Whether the status is that of a success. Thread-safe.
+bool is_success(unsigned status);
+
 /// Whether the target has answered this request. If not, what follows the head is of no use, may
 /// have no end, and says nothing about the request, which the target may still be working on: its
 /// call has to be cancelled. Thread-safe.
