--- a/review/driver-2.cpp
+++ b/review/driver-2.cpp
@@ -243,12 +243,17 @@
             {"kind", "streaming"}, {"service", "lm"}, {"timeout_ms", 5000},
             {"goal_ms", 300},      {"attempts", 1},   {"resumable", false},
             {"priority", 0},       {"sticky", true},  {"gap_aim_ms", 250}};
+        json::object resumable = caption;
+        resumable["name"] = "resumable";
+        resumable["path_prefix"] = "/resumable/";
+        resumable["resumable"] = true;
+        resumable["attempts"] = 2;
         const json::object limits{{"max_header_bytes", 32768},
                                   {"max_body_bytes", 4194304},
                                   {"header_timeout_ms", 5000},
                                   {"idle_timeout_ms", 30000}};
         return json::serialize(json::object{{"version", 1},
-                                            {"routes", json::array{notes, caption}},
+                                            {"routes", json::array{notes, caption, resumable}},
                                             {"services", json::array{json::object{{"name", "lm"}}}},
                                             {"tenants", std::move(teams)},
                                             {"limits", limits}});
@@ -763,6 +768,52 @@
     return often >= machines_max ? exit_broken : exit_held;
 }
 
+/// A faulty engine truncates its streams inside an event, and ends the body as if it were whole.
+int play_truncated_streams(const case_input& input)
+{
+    deployment plan;
+    plan.pace = {8, 34, milliseconds(5)};
+    fleet system(plan, input.record, input.folder);
+    if (!system.start()) {
+        return exit_unable;
+    }
+    for (std::size_t index = 0; input.trouble && index < plan.engines / 2; ++index) {
+        system.engines()[index]->truncate_at(20, 33);
+    }
+    std::size_t whole = 0;
+    std::size_t truncated = 0;
+    for (std::uint64_t sequence = 0; sequence < 240; ++sequence) {
+        const std::string route = sequence % 2 == 0 ? "/caption/" : "/resumable/";
+        http::header_fields headers = client_headers(0);
+        const std::string id = hex_id(sequence + 1);
+        headers.set("X-Gooseberryfall-Request-Id", id);
+        headers.set("X-Gooseberryfall-Model", "m");
+        headers.set("X-Gooseberryfall-Token-Usage", "450,34");
+        headers.set("X-Gooseberryfall-Deadline-Ms", "5000");
+        headers.set("X-Gooseberryfall-Prompt-Prefix", "9c2e41:100," + id + ":250");
+        const auto answer =
+            http::call(system.front(sequence), "POST", route + id, headers, "prompt", seconds(6));
+        // The chunks of an answer that was broken off lack the last one.
+        const bool complete = answer.outcome == http::call_outcome::completed;
+        const std::string path = route + id;
+        const bool has_last_event = answer.body.ends_with("id: 33\ndata: " + path + "#33\n\n");
+        const bool looks_whole = complete && answer.head.status == 200;
+        whole += looks_whole && has_last_event ? 1 : 0;
+        truncated += looks_whole && !has_last_event ? 1 : 0;
+        input.record.line(
+            "request " + path + ": " +
+            (complete ? "status " + std::to_string(answer.head.status) : "broken off") + ", " +
+            std::to_string(answer.body.size()) + " bytes, " +
+            (has_last_event ? "with the last event" : "without the last event"));
+    }
+    input.record.line("whole answers: " + std::to_string(whole) +
+                      ", answers that end early and look complete: " + std::to_string(truncated));
+    if (whole == 0) {
+        return exit_unable;
+    }
+    return truncated > 0 ? exit_broken : exit_held;
+}
+
 int play(const std::string& name, const case_input& input)
 {
     const std::map<std::string, std::function<int(const case_input&)>> cases{
@@ -770,6 +821,7 @@
         {"full_store", play_full_store},
         {"smuggled_request", play_smuggled_request},
         {"crashing_items", play_crashing_items},
+        {"truncated_streams", play_truncated_streams},
         {"endless_answers", play_endless_answers},
     };
     const auto found = cases.find(name);
--- a/review/stand-ins-2.hpp
+++ b/review/stand-ins-2.hpp
@@ -417,6 +417,14 @@
         endless_interval_ = interval;
     }
 
+    /// Ends the body of one of so many answers inside the event with this id.
+    void truncate_at(std::uint32_t event, std::size_t period)
+    {
+        const std::lock_guard lock(mutex_);
+        truncated_event_ = event;
+        truncation_period_ = period;
+    }
+
     std::vector<engine_run> runs() const
     {
         const std::lock_guard lock(mutex_);
@@ -581,6 +589,19 @@
             return;
         }
         const std::string event = std::to_string(active->next_event);
+        std::optional<std::uint32_t> truncated;
+        {
+            const std::lock_guard lock(mutex_);
+            if (active->run % truncation_period_ == truncation_period_ - 1) {
+                truncated = truncated_event_;
+            }
+        }
+        if (truncated == active->next_event) {
+            active->caller->write("id: " + event + "\ndata: " + active->path.substr(0, 4));
+            end(*active, false);
+            active->caller->finish();
+            return;
+        }
         active->caller->write("id: " + event + "\ndata: " + active->path + '#' + event + "\n\n");
         ++active->next_event;
         loop_.post_after(pace_.event_interval, [this, alive = alive_, active] {
@@ -609,6 +630,8 @@
     std::string crashing_part_;
     std::chrono::milliseconds down_time_{0};
     std::optional<std::chrono::milliseconds> endless_interval_;
+    std::optional<std::uint32_t> truncated_event_;
+    std::size_t truncation_period_ = 1;
     std::vector<std::shared_ptr<stream>> streams_;
     /// Number of earlier processes of this engine.
     std::uint64_t lifetime_ = 0;
