--- a/review/driver-2.cpp
+++ b/review/driver-2.cpp
@@ -54,6 +54,24 @@
 constexpr milliseconds restart_delay{300};
 constexpr milliseconds memory_check_interval{50};
 
+/// A case that takes longer is ended.
+constexpr unsigned time_limit_seconds = 116;
+
+/// Processes that were started, by machine, for `end_at_once`.
+constexpr std::size_t machines_most = 16;
+std::array<std::atomic<pid_t>, machines_most> started_processes{};
+
+/// Handler of signals that end the driver: ends the processes that it started first.
+void end_at_once(int /*signal_number*/)
+{
+    for (const std::atomic<pid_t>& process : started_processes) {
+        if (process > 0) {
+            ::kill(process, SIGKILL);
+        }
+    }
+    ::_exit(exit_unable);
+}
+
 /// Writes `record.txt`: a line for each event, with the time since the start.
 class recorder {
 public:
@@ -118,7 +136,7 @@
                     store_.put("servers", started.id(), started.entry());
                 }));
         }
-        store_.put("op", "config", desired_state());
+        publish_state(1, true);
         const auto process_id = static_cast<unsigned>(::getpid());
         for (std::size_t index = 0; index < plan_.machines; ++index) {
             machine added;
@@ -177,6 +195,12 @@
         return false;
     }
 
+    /// Writes a desired state, as the operator does.
+    void publish_state(int version, bool has_notes)
+    {
+        store_.put("op", "config", desired_state(version, has_notes));
+    }
+
     std::string front(std::size_t index) const
     {
         const machine& each = machines_[index % machines_.size()];
@@ -222,7 +246,8 @@
         std::size_t memory_peak = 0;
     };
 
-    std::string desired_state() const
+    /// A desired state, with or without the batch route.
+    std::string desired_state(int version, bool has_notes) const
     {
         json::array teams;
         for (std::size_t team = 0; team < plan_.teams; ++team) {
@@ -252,8 +277,12 @@
                                   {"max_body_bytes", 4194304},
                                   {"header_timeout_ms", 5000},
                                   {"idle_timeout_ms", 30000}};
-        return json::serialize(json::object{{"version", 1},
-                                            {"routes", json::array{notes, caption, resumable}},
+        json::array routes{caption, resumable};
+        if (has_notes) {
+            routes.push_back(notes);
+        }
+        return json::serialize(json::object{{"version", version},
+                                            {"routes", std::move(routes)},
                                             {"services", json::array{json::object{{"name", "lm"}}}},
                                             {"tenants", std::move(teams)},
                                             {"limits", limits}});
@@ -302,6 +331,7 @@
             process = -1;
         }
         posix_spawn_file_actions_destroy(&actions);
+        started_processes.at(index) = process;
         const std::lock_guard lock(mutex_);
         machines_[index].process = process;
     }
@@ -814,6 +844,43 @@
     return truncated > 0 ? exit_broken : exit_held;
 }
 
+/// The operator removes the batch route of a job whose results have been read.
+int play_ended_route(const case_input& input)
+{
+    deployment plan;
+    plan.pace = {8, 34, milliseconds(5)};
+    fleet system(plan, input.record, input.folder);
+    if (!system.start()) {
+        return exit_unable;
+    }
+    job_client client(system, input.record);
+    const auto accepted = send_jobs(client, 5, 1, usual_body_bytes, 1);
+    const std::size_t unread =
+        count_lost(client, input.record, accepted, steady_clock::now() + seconds(15));
+    if (accepted.empty() || unread > 0) {
+        return exit_unable;
+    }
+    system.publish_state(2, !input.trouble);
+    input.record.line(std::string("the operator writes version 2") +
+                      (input.trouble ? ", without the batch route" : ""));
+    std::this_thread::sleep_for(seconds(8));
+    // Three reads of each job, so that each machine is asked.
+    std::size_t missing = 0;
+    std::size_t reads = 0;
+    for (const accepted_job& job : accepted) {
+        for (std::size_t machine = 0; machine < system.size(); ++machine) {
+            const auto page = client.read(job.team, job.id);
+            missing += page.status == 404 || page.status == 410 ? 1 : 0;
+            ++reads;
+            input.record.line("job " + job.id + ": status " + std::to_string(page.status) + ", " +
+                              std::to_string(page.results.size()) + " results");
+        }
+    }
+    input.record.line(std::to_string(missing) + " of " + std::to_string(reads) +
+                      " reads of jobs that had been read were answered 404 or 410");
+    return missing > 0 ? exit_broken : exit_held;
+}
+
 int play(const std::string& name, const case_input& input)
 {
     const std::map<std::string, std::function<int(const case_input&)>> cases{
@@ -821,6 +888,7 @@
         {"full_store", play_full_store},
         {"smuggled_request", play_smuggled_request},
         {"crashing_items", play_crashing_items},
+        {"ended_route", play_ended_route},
         {"truncated_streams", play_truncated_streams},
         {"endless_answers", play_endless_answers},
     };
@@ -842,6 +910,10 @@
     if (::mkdtemp(folder.data()) == nullptr) {
         return exit_unable;
     }
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM}) {
+        std::signal(number, end_at_once);
+    }
+    ::alarm(time_limit_seconds);
     recorder record(arguments[1]);
     int result = exit_unable;
     try {
