edge, core: a truncated stream that ends properly is not passed on as complete

Callers saw a status 200 with the target's signature, a part of the events, a part of one more, and the last chunk; on a resumable route the stream did not go on at another target either. Cause: a stream whose body has a length or chunks was complete as soon as its framing said so. The check for an end inside an event applied only to streams that end with their connection and to resumed ones; the first run of a stream skipped it, and what remained of an event was passed on with the last chunk. Items had a check of their own. Ruled out: a client that accepts a body without its last chunk (the stand-in of the case writes it), and a server that writes the last chunk after an abort (there was no abort). Change: one check, core::response_completeness, decides for first and resumed runs of requests and for runs of items. It shares core::event_scanner with the splitter, so that there is one definition of where an event ends. A truncated stream goes on at another target or is cut without the last chunk, its target is charged with a broken answer, and the metric target_answers_truncated counts it. Tests: edge_truncated_responses_test streams_never_look_complete failed before ("chunks, in the first line: ends early and looks complete"); resumed_streams_never_look_complete and items_are_run_again passed before and keep the other paths. core_response_completeness_test tries each byte of a stream. The assertion of serving_parts_test on event_splitter::ends_with_event, which is gone, is replaced by one that the stream stays overflowed and keeps no bytes. Measured: edge_truncated_responses_test fails before, passes after; edge_resumed_streams_test, edge_endless_responses_test and serving_serving_parts_test pass.

--- a/src/edge/edge_context.hpp
+++ b/src/edge/edge_context.hpp
@@ -37,6 +37,8 @@
     fleet_service& fleet;
     target_timeouts timeouts;
     core::data_centre_id data_centre;
+    /// Responses of targets whose framing ended a body that wasn't whole.
+    kernel::counter& truncated_responses;
     /// Desired state in force; null until one is known.
     std::shared_ptr<const serving::route_table> routes;
 };
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -161,9 +161,12 @@
     const auto first_number = static_cast<std::uint64_t>(self.started_at) * 1000;
     admission_ = std::make_unique<admission_client>(*fleet_, *logger_, *metrics_,
                                                     settings_.admission, first_number);
-    context_ = std::make_unique<edge_context>(
-        edge_context{*loop_, *logger_, *metrics_, *translator_, *targets_client_, *admission_,
-                     *fleet_, settings_.timeouts, self.data_centre, nullptr});
+    context_ = std::make_unique<edge_context>(edge_context{
+        *loop_, *logger_, *metrics_, *translator_, *targets_client_, *admission_, *fleet_,
+        settings_.timeouts, self.data_centre,
+        metrics_->add_counter("target_answers_truncated",
+                              "Answers of targets that ended properly inside an event"),
+        nullptr});
     jobs_ = std::make_unique<job_service>(*context_, *store_, *peers_client_, settings_.jobs);
     gateway_ = std::make_unique<caller_gateway>(*context_, *jobs_);
     state_sync_ = std::make_unique<state_sync>(
--- a/src/edge/item_run.cpp
+++ b/src/edge/item_run.cpp
@@ -145,6 +145,7 @@
 {
     head_ = head;
     response_flags_ = context_.translator.classify_response(head, input_.item.id);
+    completeness_ = make_completeness_check(head, response_flags_);
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, input_.item.id);
     }
@@ -172,6 +173,7 @@
     const auto now = steady_clock::now();
     last_received_at_ = now;
     received_bytes_ += piece.size();
+    completeness_.feed(piece);
     const std::size_t bytes_max = has_usable_body() ? response_bytes_max : unused_body_bytes_max;
     if (received_bytes_ > bytes_max) {
         abandon_oversized_response();
@@ -253,9 +255,13 @@
         finish(item_run_outcome::interrupted, "refused_by_target");
         return;
     }
-    const bool broken_off =
-        response_flags_.is_event_stream && head_.ends_with_connection && !events_.ends_with_event();
-    if (has_usable_body() && !broken_off && events_.incomplete_bytes().empty()) {
+    if (!completeness_.is_whole()) {
+        context_.truncated_responses.add();
+        release_admission(serving::slot_outcome::broken);
+        finish(item_run_outcome::interrupted, "answer_truncated");
+        return;
+    }
+    if (has_usable_body()) {
         if (!response_flags_.is_event_stream) {
             input_.progress.text = plain_body_;
         }
@@ -269,8 +275,7 @@
         return;
     }
     const bool failed = head_.status == 500;
-    release_admission(head_.status == 200 ? serving::slot_outcome::broken
-                                          : serving::slot_outcome::failed);
+    release_admission(serving::slot_outcome::failed);
     finish(failed ? item_run_outcome::target_failed : item_run_outcome::interrupted,
            "target_failed");
 }
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/response_completeness.hpp"
 #include "edge/edge_context.hpp"
 
 #include <chrono>
@@ -108,6 +109,7 @@
     std::optional<std::chrono::milliseconds> target_first_byte_;
     http::response_head head_{0, {}};
     target_response_flags response_flags_;
+    core::response_completeness completeness_;
     serving::event_splitter events_;
     std::string plain_body_;
     /// Size of the response body so far.
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -187,6 +187,7 @@
     continues_stream_ = stage_ == response_stage::streaming;
     streams_body_ = false;
     buffered_body_.clear();
+    completeness_ = {};
     events_ = serving::event_splitter();
 
     const std::uint64_t generation = ++call_generation_;
@@ -242,6 +243,7 @@
 {
     head_ = head;
     response_flags_ = context_.translator.classify_response(head, admitted_.request.id);
+    completeness_ = make_completeness_check(head, response_flags_);
     if (response_flags_.target_leaves) {
         context_.fleet.on_target_leaving(target_process_, admitted_.request.id);
     }
@@ -286,15 +288,14 @@
         target_first_byte_ = elapsed_since(sent_at_);
         context_.admission.set_unresponsive(admission_, false);
     }
+    completeness_.feed(piece);
     if (!is_event_stream()) {
         return on_plain_piece(std::move(piece));
     }
     if (!is_repeatable()) {
         start_streaming();
-        if (head_.ends_with_connection) {
-            events_.feed(piece);
-        }
-        if (events_.overflowed()) {
+        if (head_.ends_with_connection &&
+            completeness_.incomplete_event_bytes() > serving::event_bytes_max) {
             abandon_attempt(serving::slot_outcome::broken, "an event exceeds its size limit");
             return http::flow::proceed;
         }
@@ -393,11 +394,12 @@
                           true);
         return;
     }
-    const bool streams = is_event_stream();
-    if (streams && ends_inside_event()) {
-        on_attempt_failed(serving::slot_outcome::broken, "the stream ended inside an event", true);
+    if (!completeness_.is_whole()) {
+        context_.truncated_responses.add();
+        on_attempt_failed(serving::slot_outcome::broken, "the response is truncated", true);
         return;
     }
+    const bool streams = is_event_stream();
     const bool failed = head_.status >= 500;
     const bool retry_elsewhere =
         failed && is_repeatable() && attempts_ < admitted_.route->attempts_max;
@@ -415,9 +417,7 @@
         start_streaming();
     }
     if (stage_ == response_stage::streaming) {
-        const bool was_split = streams && is_repeatable();
-        std::string rest = unsent_ + (was_split ? events_.incomplete_bytes() : std::string());
-        unsent_.clear();
+        std::string rest = std::exchange(unsent_, {});
         if (!rest.empty() && caller_->write(std::move(rest)) != http::write_result::buffered) {
             summary.complete = false;
             caller_->abort();
@@ -433,15 +433,6 @@
     finish(summary);
 }
 
-bool online_exchange::ends_inside_event() const
-{
-    if (head_.ends_with_connection) {
-        return !events_.ends_with_event();
-    }
-    // What a target sends in place of events must not be joined to the events of the one before.
-    return continues_stream_ && !events_.incomplete_bytes().empty();
-}
-
 void online_exchange::release_admission(serving::slot_outcome outcome)
 {
     if (admission_ != 0) {
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/response_completeness.hpp"
 #include "edge/edge_context.hpp"
 
 #include <chrono>
@@ -76,9 +77,6 @@
     void abandon_attempt(serving::slot_outcome outcome, const std::string& reason);
     /// Whether the response to the current call is a successful event stream.
     bool is_event_stream() const;
-    /// Whether the response to the current call, which is complete by its framing, has broken off
-    /// in the middle of an event.
-    bool ends_inside_event() const;
     void release_admission(serving::slot_outcome outcome);
     /// Keeps further attempts from the current target.
     void exclude_target();
@@ -136,6 +134,8 @@
     /// buffered.
     bool streams_body_ = false;
     std::string buffered_body_;
+    core::response_completeness completeness_;
+    /// Of a stream that may be resumed at another target.
     serving::event_splitter events_;
 
     // The response to the caller.
--- a/src/edge/target_call.cpp
+++ b/src/edge/target_call.cpp
@@ -24,6 +24,14 @@
     return flags.matches_request && (!is_success(status) || flags.signed_by_target);
 }
 
+core::response_completeness make_completeness_check(const http::response_head& head,
+                                                    const target_response_flags& flags)
+{
+    return core::response_completeness({.status = head.status,
+                                        .is_event_stream = flags.is_event_stream,
+                                        .ends_with_connection = head.ends_with_connection});
+}
+
 serving::slot_outcome to_slot_outcome(http::call_outcome outcome)
 {
     assert(outcome != http::call_outcome::completed);
--- a/src/edge/target_call.hpp
+++ b/src/edge/target_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/response_completeness.hpp"
 #include "edge/edge_context.hpp"
 #include "http/http.hpp"
 
@@ -21,6 +22,10 @@
 /// call has to be cancelled. Thread-safe.
 bool is_own_response(const target_response_flags& flags, unsigned status);
 
+/// Makes the check of the body that follows the head of a response. Thread-safe.
+core::response_completeness make_completeness_check(const http::response_head& head,
+                                                    const target_response_flags& flags);
+
 /// Maps the outcome of a failed call to the outcome that is reported for its target. Precondition:
 /// `outcome` is not `completed`. Thread-safe.
 serving::slot_outcome to_slot_outcome(http::call_outcome outcome);
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -67,25 +67,16 @@
     if (overflowed_) {
         return events;
     }
-    incomplete_bytes_ += bytes;
-    const std::string_view text(incomplete_bytes_);
-    std::size_t event_begin = 0;
-    for (std::size_t line_end = text.find('\n', line_begin_); line_end != std::string_view::npos;
-         line_end = text.find('\n', line_begin_)) {
-        const bool ends_event = line_between(text, line_begin_, line_end).empty();
-        line_begin_ = line_end + 1;
-        if (ends_event) {
-            events.push_back(parse_event(text.substr(event_begin, line_begin_ - event_begin)));
-            event_begin = line_begin_;
-        }
+    while (const auto read = scanner_.read_event_end(bytes)) {
+        incomplete_bytes_ += bytes.substr(0, *read);
+        events.push_back(parse_event(incomplete_bytes_));
+        incomplete_bytes_.clear();
+        bytes.remove_prefix(*read);
     }
-    incomplete_bytes_.erase(0, event_begin);
-    line_begin_ -= event_begin;
-    has_event_ = has_event_ || !events.empty();
+    incomplete_bytes_ += bytes;
     if (incomplete_bytes_.size() > bytes_max_) {
         overflowed_ = true;
         incomplete_bytes_ = std::string();
-        line_begin_ = 0;
     }
     return events;
 }
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/event_scanner.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -37,15 +39,10 @@
     /// Bytes of the last event, which is incomplete.
     const std::string& incomplete_bytes() const { return incomplete_bytes_; }
 
-    /// Whether the bytes so far are events and nothing else, at least one.
-    bool ends_with_event() const { return has_event_ && incomplete_bytes_.empty() && !overflowed_; }
-
 private:
     std::size_t bytes_max_;
+    core::event_scanner scanner_;
     std::string incomplete_bytes_;
-    /// Start of the first line in `incomplete_bytes_` whose end hasn't arrived.
-    std::size_t line_begin_ = 0;
-    bool has_event_ = false;
     bool overflowed_ = false;
 };
 
--- a/tests/serving/serving_parts_test.cpp
+++ b/tests/serving/serving_parts_test.cpp
@@ -210,7 +210,8 @@
         }
         cr_assert(splitter.overflowed());
         cr_assert(splitter.feed("\n\nid: 2\ndata: b\n\n").empty());
-        cr_assert_not(splitter.ends_with_event());
+        cr_assert(splitter.overflowed());
+        cr_assert(splitter.incomplete_bytes().empty());
     }
     serving::event_splitter many(limit);
     for (std::size_t event = 0; event < limit; ++event) {
