http, platform: the media type of a response is compared as HTTP defines it

Cause: a response counted as a stream of events only if its Content-Type began with text/event-stream in lower case. Media types don't depend on case; a stream with another spelling was passed on as a plain body, whole by its framing, without the check of its events and without resuming. Change: http::is_event_stream compares the media type without case and without its parameters. Measured: edge_truncated_responses_test streams_are_recognized_by_any_spelling fails before ("Text/Event-Stream: ends early and looks complete"), passes after.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -9,6 +9,17 @@
 
 namespace gooseberryfall::http {
 
+bool is_event_stream(const header_fields& headers)
+{
+    // The media type ends where its parameters begin.
+    const std::string value = headers.get("Content-Type");
+    std::string_view type = std::string_view(value).substr(0, value.find(';'));
+    while (type.ends_with(' ') || type.ends_with('\t')) {
+        type.remove_suffix(1);
+    }
+    return equals_ignoring_case(type, "text/event-stream");
+}
+
 std::string error_json(const error_details& error)
 {
     boost::json::object details;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -67,6 +67,9 @@
     std::string body;
 };
 
+/// Whether the headers of a response declare server-sent events. Thread-safe.
+bool is_event_stream(const header_fields& headers);
+
 /// An error response in the JSON format that all services share.
 struct error_details {
     unsigned status = 500;
--- a/tests/edge/truncated_responses_test.cpp
+++ b/tests/edge/truncated_responses_test.cpp
@@ -126,10 +126,10 @@
 
 /// Response of a target that truncates the events that a request asks for.
 std::string truncated_response(const std::string& request_head, const body_framing& framing,
-                               const truncation& cut)
+                               const truncation& cut, const char* content_type)
 {
-    const std::string headers = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-                                raw_target::response_headers(request_head);
+    const std::string headers = "HTTP/1.1 200 OK\r\nContent-Type: " + std::string(content_type) +
+                                "\r\n" + raw_target::response_headers(request_head);
     return framing.make_response(headers, cut.truncate(requested_events(request_head)));
 }
 
@@ -146,9 +146,10 @@
 
 /// A deployment with a sound engine and a target that truncates each of its streams.
 struct truncating_deployment {
-    truncating_deployment(const body_framing& framing, const truncation& cut)
-        : faulty([&framing, &cut](const std::string& request_head) {
-              return truncated_response(request_head, framing, cut);
+    truncating_deployment(const body_framing& framing, const truncation& cut,
+                          const char* content_type = "text/event-stream")
+        : faulty([&framing, &cut, content_type](const std::string& request_head) {
+              return truncated_response(request_head, framing, cut, content_type);
           })
     {
         deployment.wait_until_idle();
@@ -203,6 +204,17 @@
     }
 }
 
+// Guards against a truncated stream that passes as a plain body, because its target writes the name
+// of the media type in another way.
+Test(truncated_responses, streams_are_recognized_by_any_spelling, .timeout = 120)
+{
+    for (const char* content_type :
+         {"Text/Event-Stream", "text/event-stream;charset=utf-8", "TEXT/EVENT-STREAM ; x=y"}) {
+        truncating_deployment tested(framings[0], truncations[1], content_type);
+        check_streams(tested, content_type);
+    }
+}
+
 // Guards against a resumed stream that ends as complete, or contains a part of an event, because
 // the target at which it goes on truncates it, too.
 Test(truncated_responses, resumed_streams_never_look_complete, .timeout = 240)
