targets: a stream that ends inside an event is not complete on our own interface either

Streams of services that aren't engines were complete by their framing alone, and a stream of an engine by its end mark, even if the mark's empty line was missing or a part of another event followed it. Change: running_dispatch applies core::response_completeness to every answer of a target, before the end mark of engines is looked at.

--- a/src/targets/item_dispatch.cpp
+++ b/src/targets/item_dispatch.cpp
@@ -23,7 +23,7 @@
 
 http::flow item_dispatch::on_answer(const http::response_head& head)
 {
-    events_ = is_event_stream(head);
+    events_ = http::is_event_stream(head.headers);
     return http::flow::proceed;
 }
 
--- a/src/targets/online_dispatch.cpp
+++ b/src/targets/online_dispatch.cpp
@@ -40,7 +40,7 @@
 http::flow online_dispatch::on_answer(const http::response_head& head)
 {
     head_ = head;
-    events_ = is_event_stream(head) && order_.kind == core::service_kind::engine;
+    events_ = http::is_event_stream(head.headers) && order_.kind == core::service_kind::engine;
     const std::optional<std::size_t> length = declared_length(head);
     const bool is_short = length && *length <= context_.settings.collect_limit;
     collecting_ = !events_ && is_short;
--- a/src/targets/running_dispatch.cpp
+++ b/src/targets/running_dispatch.cpp
@@ -73,11 +73,6 @@
     }
 }
 
-bool running_dispatch::is_event_stream(const http::response_head& head)
-{
-    return head.headers.get("Content-Type").starts_with("text/event-stream");
-}
-
 std::string running_dispatch::request_number() const
 {
     const core::incarnation_id& self = context_.settings.self;
@@ -137,6 +132,10 @@
         refused_ = true;
         return http::flow::proceed;
     }
+    completeness_ =
+        core::response_completeness({.status = head.status,
+                                     .is_event_stream = http::is_event_stream(head.headers),
+                                     .ends_with_connection = head.ends_with_connection});
     return on_answer(head);
 }
 
@@ -145,6 +144,7 @@
     if (refused_ || mismatched_) {
         return http::flow::proceed;
     }
+    completeness_.feed(piece);
     return on_piece(std::move(piece));
 }
 
@@ -164,6 +164,10 @@
                                                  : core::dispatch_outcome::refused;
     }
     else {
+        const bool ended = report.outcome == core::dispatch_outcome::completed;
+        if (ended && !completeness_.is_whole()) {
+            report.outcome = core::dispatch_outcome::connection_lost;
+        }
         on_done(result, report);
     }
     context_.finish(std::move(report));
--- a/src/targets/running_dispatch.hpp
+++ b/src/targets/running_dispatch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
+#include "core/response_completeness.hpp"
 #include "http/http.hpp"
 #include "targets/dispatcher.hpp"
 #include "targets/exchange_table.hpp"
@@ -48,12 +49,10 @@
     /// A piece of such an answer came.
     virtual http::flow on_piece(std::string piece) = 0;
 
-    /// The call ended; completes the report.
+    /// The call ended; completes the report. Its outcome is `completed` only if the answer is whole
+    /// by its framing and its events.
     virtual void on_done(const http::call_result& result, core::dispatch_finished& report) = 0;
 
-    /// Whether the answer consists of server-sent events.
-    static bool is_event_stream(const http::response_head& head);
-
     /// Value of `X-Request-Id`, unique over instances and runs.
     std::string request_number() const;
 
@@ -75,6 +74,7 @@
 
     bool refused_ = false;
     bool mismatched_ = false;
+    core::response_completeness completeness_;
 };
 
 } // namespace gooseberryfall::targets
