soak, stand_ins: engines truncate runs that end properly, outputs of items are checked

Cause: the stand-in engine truncated a stream in one way only, by a reset, and no check of the soak compared the output of an item with what its engine generates. A result that is listed as complete must hold the whole output.

--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -55,12 +55,12 @@
 }
 
 void history::add_results(const std::string& job, std::size_t first_position,
-                          const std::vector<std::pair<std::string, std::string>>& results)
+                          const std::vector<observed_result>& results)
 {
     const std::lock_guard lock(mutex_);
     observed_job& observed = jobs_[job];
     for (std::size_t index = 0; index < results.size(); ++index) {
-        const auto& [item, output] = results[index];
+        const auto& [item, output, is_truncated] = results[index];
         const std::size_t position = first_position + index;
         const auto [position_entry, is_new_position] =
             observed.items_by_position.try_emplace(position, item);
@@ -74,6 +74,9 @@
         if (!is_new_item && output_entry->second != output) {
             violations_.push_back("item " + item + " has two different outputs");
         }
+        if (is_new_item && is_truncated) {
+            violations_.push_back("item " + item + " is complete with a part of its output");
+        }
     }
 }
 
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -51,6 +51,14 @@
     std::optional<std::size_t> instance{};
 };
 
+/// A result of a job's item as read.
+struct observed_result {
+    std::string item;
+    std::string output;
+    /// The result is listed as complete and lacks a part of the item's output.
+    bool is_truncated = false;
+};
+
 /// Time after which an instance that has passed on that an engine leaves sends it nothing more.
 constexpr std::chrono::milliseconds leaving_grace{2000};
 
@@ -84,10 +92,9 @@
     /// Records the submission of a job and the HTTP status of the response; 0 if none arrived.
     void add_submission(const std::string& job, int item_count, unsigned status);
 
-    /// Records a page of a job's results: pairs of item id and output, of which the first stands at
-    /// position `first_position`.
+    /// Records a page of a job's results, of which the first stands at position `first_position`.
     void add_results(const std::string& job, std::size_t first_position,
-                     const std::vector<std::pair<std::string, std::string>>& results);
+                     const std::vector<observed_result>& results);
 
     /// Records that an instance's process has ended, or has been suspended or resumed: it need not
     /// know any more what it knew before.
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -34,6 +34,7 @@
 constexpr int directory_port = 7463;
 constexpr std::uint32_t events_per_stream = 12;
 constexpr int items_per_job = 4;
+constexpr const char* item_path = "/notes/x";
 
 /// Number of values of `link_fault`.
 constexpr std::size_t link_fault_count = 6;
@@ -52,6 +53,9 @@
 constexpr std::size_t slow_run_period = 6;
 constexpr milliseconds usual_event_interval{15};
 
+/// Half of the engines end one of so many runs properly, but inside an event.
+constexpr std::size_t truncated_run_period = 16;
+
 /// Links to engines connect from `127.0.0.N`, where N is the number of the sending instance and
 /// this one.
 constexpr unsigned sender_address_base = 100;
@@ -142,6 +146,7 @@
     std::mt19937_64 random(options_.seed * 1000 + 994 +
                            std::hash<std::string>()(run_id + '@' + std::to_string(engine)));
     stand_ins::run_pace pace{.event_interval = usual_event_interval};
+    pace.truncated_after = draw_truncation(engine, run_id);
     if (run_id.empty() || draw(random, slow_run_period) != 0) {
         return pace;
     }
@@ -158,6 +163,21 @@
     return pace;
 }
 
+std::optional<std::uint32_t> soak_run::draw_truncation(std::size_t engine,
+                                                       const std::string& run_id) const
+{
+    const bool is_faulty = engine < options_.engines / 2;
+    if (!is_faulty || faults_over_) {
+        return std::nullopt;
+    }
+    std::mt19937_64 random(options_.seed * 1000 + 993 +
+                           std::hash<std::string>()(run_id + '#' + std::to_string(engine)));
+    if (draw(random, truncated_run_period) != 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(draw(random, events_per_stream));
+}
+
 std::optional<std::size_t> soak_run::find_sender(std::uint16_t sender_port, std::uint16_t link_port)
 {
     const std::lock_guard lock(daemons_mutex_);
@@ -453,7 +473,7 @@
     json::array item_list;
     for (int index = 0; index < items; ++index) {
         item_list.push_back(json::object{{"id", job + "-" + std::to_string(index)},
-                                         {"path", "/notes/x"},
+                                         {"path", item_path},
                                          {"headers", json::object{{names::token_usage, "10,60"}}},
                                          {"body", "cHJvbXB0"},
                                          {"tokens", 70}});
@@ -475,9 +495,14 @@
         return false;
     }
     const json::value page = json::parse(response.body);
-    std::vector<std::pair<std::string, std::string>> results;
+    const std::string whole = stand_ins::model_engine::complete_text(item_path, events_per_stream);
+    std::vector<observed_result> results;
     for (const json::value& entry : page.at("results").as_array()) {
-        results.emplace_back(entry.at("id").as_string(), entry.at("output").as_string());
+        observed_result result;
+        result.item = entry.at("id").as_string();
+        result.output = entry.at("output").as_string();
+        result.is_truncated = entry.at("state") == "complete" && result.output != whole;
+        results.push_back(std::move(result));
     }
     history_.add_results(job, 0, results);
     return results.size() == static_cast<std::size_t>(items);
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -60,6 +60,10 @@
     void write_settings(std::size_t instance, const std::string& text) const;
     /// Pace of a run at an engine: determined by the seed, the engine and the run's id.
     stand_ins::run_pace draw_pace(std::size_t engine, const std::string& run_id) const;
+    /// Number of events after which a run at an engine is truncated, determined like its pace;
+    /// unset if it isn't, as for all runs once the faults have ended.
+    std::optional<std::uint32_t> draw_truncation(std::size_t engine,
+                                                 const std::string& run_id) const;
     /// Number of the instance that holds the other end of a connection to a link; empty if none
     /// does any more.
     std::optional<std::size_t> find_sender(std::uint16_t sender_port, std::uint16_t link_port);
--- a/stand_ins/model_engine.cpp
+++ b/stand_ins/model_engine.cpp
@@ -260,7 +260,14 @@
         active->caller->abort();
         return;
     }
-    active->caller->write(event_text(active->path, active->next_event));
+    std::string event = event_text(active->path, active->next_event);
+    if (active->pace.truncated_after && active->sent_count >= *active->pace.truncated_after) {
+        active->caller->write(event.substr(0, event.size() / 2));
+        end_stream(active);
+        active->caller->finish();
+        return;
+    }
+    active->caller->write(std::move(event));
     ++active->next_event;
     ++active->sent_count;
     loop_.post_after(time_to_next_event(*active), [this, alive = alive_, active] {
--- a/stand_ins/model_engine.hpp
+++ b/stand_ins/model_engine.hpp
@@ -14,13 +14,16 @@
 
 namespace gooseberryfall::stand_ins {
 
-/// Times of one run.
+/// Times of one run, and where it ends.
 struct run_pace {
     /// Time before the head of the response.
     std::chrono::milliseconds prefill{0};
     std::chrono::milliseconds event_interval{5};
     /// Additional time before the event in the middle of the stream.
     std::chrono::milliseconds pause{0};
+    /// Number of events after which the stream ends inside the next event, with the last chunk as
+    /// if it were complete; unset: it doesn't.
+    std::optional<std::uint32_t> truncated_after{};
 };
 
 /// Settings of `model_engine`.
--- a/tests/soak/history_test.cpp
+++ b/tests/soak/history_test.cpp
@@ -57,6 +57,15 @@
     cr_assert_eq(check(observed, {}).size(), 2U);
 }
 
+Test(history, reports_a_complete_item_with_a_part_of_its_output)
+{
+    soak::history observed("t");
+    observed.add_submission("j", 1, 202);
+    observed.add_results("j", 0, {{"j-0", "x", true}});
+    observed.add_results("j", 0, {{"j-0", "x", true}});
+    cr_assert_eq(check(observed, {}).size(), 1U);
+}
+
 Test(history, reports_a_key_and_a_wrong_team_at_an_engine)
 {
     const soak::history observed("t");
