--- a/tests/targets/dispatcher_test.cpp
+++ b/tests/targets/dispatcher_test.cpp
@@ -1,12 +1,11 @@
 #include "http/raw_socket.hpp"
+#include "targets/single_dispatch.hpp"
 #include "targets/targets.hpp"
 
 #include <criterion/criterion.h>
 
 #include <future>
-#include <mutex>
 #include <string>
-#include <vector>
 
 namespace core = gooseberryfall::core;
 namespace http = gooseberryfall::http;
@@ -32,39 +31,13 @@
         connection.send(answer);
         connection.receive_all();
     });
-    http::event_loop loop("targets");
-    http::client client(loop);
     targets::exchange_table exchanges;
+    const auto events =
+        perform_dispatch(listener.port(), core::service_kind::engine, core::item_body(), exchanges);
     std::size_t told = 0;
-    std::promise<void> finished;
-    targets::dispatcher_callbacks callbacks;
-    callbacks.post = [&](const core::event& event) {
+    for (const core::event& event : events) {
         told += std::holds_alternative<core::target_said_leaving>(event) ? 1U : 0U;
-        if (std::holds_alternative<core::dispatch_finished>(event)) {
-            finished.set_value();
-        }
-    };
-    callbacks.read_body = [](const core::item_body&, const auto& done) {
-        done(std::string(R"({"messages":[]})"));
-    };
-    callbacks.first_byte = [](const targets::exchange&) {};
-    targets::dispatcher_settings settings;
-    settings.self.instance = core::instance_id("instance");
-    std::unique_ptr<targets::dispatcher> dispatcher;
-    loop.run_and_wait([&] {
-        dispatcher = std::make_unique<targets::dispatcher>(loop, client, exchanges, settings,
-                                                           std::move(callbacks));
-        core::dispatch order;
-        order.dispatch = 7;
-        order.target = core::target_id("engine");
-        order.address = "127.0.0.1";
-        order.port = listener.port();
-        order.body = core::item_body();
-        dispatcher->perform(order);
-    });
-    cr_assert(finished.get_future().wait_for(std::chrono::seconds(10)) ==
-              std::future_status::ready);
-    loop.run_and_wait([&] { dispatcher.reset(); });
+    }
     return told;
 }
 
--- a/tests/targets/truncated_responses_test.cpp
+++ b/tests/targets/truncated_responses_test.cpp
@@ -1,4 +1,5 @@
 #include "http/raw_socket.hpp"
+#include "targets/single_dispatch.hpp"
 #include "targets/targets.hpp"
 
 #include <criterion/criterion.h>
@@ -75,47 +76,15 @@
         connection.receive_all();
     });
     const auto responder = std::make_shared<recording_responder>();
+    targets::exchange_table exchanges;
+    http::request received;
+    received.method = "POST";
+    received.target = "/studio/mix";
+    exchanges.add(
+        std::make_shared<targets::exchange>(request_number, std::move(received), responder));
+    const auto reported = perform_dispatch(listener.port(), kind, std::move(order_body), exchanges);
     dispatch_result result;
-    {
-        http::event_loop loop("targets");
-        http::client client(loop);
-        targets::exchange_table exchanges;
-        http::request received;
-        received.method = "POST";
-        received.target = "/studio/mix";
-        exchanges.add(
-            std::make_shared<targets::exchange>(request_number, std::move(received), responder));
-        std::promise<core::dispatch_outcome> finished;
-        targets::dispatcher_callbacks callbacks;
-        callbacks.post = [&](const core::event& event) {
-            if (const auto* report = std::get_if<core::dispatch_finished>(&event)) {
-                finished.set_value(report->outcome);
-            }
-        };
-        callbacks.read_body = [](const core::item_body&, const auto& done) {
-            done(std::string(R"({"messages":[]})"));
-        };
-        callbacks.first_byte = [](const targets::exchange&) {};
-        targets::dispatcher_settings settings;
-        settings.self.instance = core::instance_id("instance");
-        std::unique_ptr<targets::dispatcher> dispatcher;
-        loop.run_and_wait([&] {
-            dispatcher = std::make_unique<targets::dispatcher>(loop, client, exchanges, settings,
-                                                               std::move(callbacks));
-            core::dispatch order;
-            order.dispatch = 7;
-            order.target = core::target_id("engine");
-            order.address = "127.0.0.1";
-            order.port = listener.port();
-            order.kind = kind;
-            order.body = std::move(order_body);
-            dispatcher->perform(order);
-        });
-        auto outcome = finished.get_future();
-        cr_assert(outcome.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
-        result.outcome = outcome.get();
-        loop.run_and_wait([&] { dispatcher.reset(); });
-    }
+    result.outcome = std::get<core::dispatch_finished>(reported.back()).outcome;
     result.caller_finished = responder->finished;
     return result;
 }
