--- a/review/driver-3.cpp
+++ b/review/driver-3.cpp
@@ -2,6 +2,8 @@
 // held, 2: the case couldn't run. With TROUBLE=0 in the environment the disruption is left out.
 #include "fleet-3.hpp"
 
+#include <atomic>
+
 #include <exception>
 
 namespace gooseberryfall::review {
@@ -251,6 +253,61 @@
     return finish(record, violations, "LOST (404, or no result at a position that was read)");
 }
 
+/// Sends streaming requests of another tenant, none of which has the part, one after the other, and
+/// counts those that were served whole.
+class online_traffic {
+public:
+    explicit online_traffic(const daemons& fleet)
+        : thread_([this, &fleet] {
+              for (int number = 0; !stopping_; ++number) {
+                  const std::string id = "request-" + std::to_string(number);
+                  const auto result =
+                      http::call(fleet.front(static_cast<std::size_t>(number) % fleet.size()),
+                                 "POST", "/chat/x",
+                                 {{"Host", host},
+                                  {"Authorization", "Bearer " + tenant_key(1)},
+                                  {names::request_id, id},
+                                  {names::time_limit, "5000"},
+                                  {names::token_usage, "100,60"},
+                                  {names::prompt_prefixes, "system:30," + id + ":50"}},
+                                 "prompt", seconds(6));
+                  const bool whole =
+                      result.outcome == http::call_outcome::completed && result.head.status == 200;
+                  ++sent_;
+                  served_ += whole ? 1 : 0;
+                  std::this_thread::sleep_for(milliseconds(100));
+              }
+          })
+    {
+    }
+
+    ~online_traffic()
+    {
+        stopping_ = true;
+        thread_.join();
+    }
+
+    online_traffic(const online_traffic&) = delete;
+    online_traffic& operator=(const online_traffic&) = delete;
+    online_traffic(online_traffic&&) = delete;
+    online_traffic& operator=(online_traffic&&) = delete;
+
+    /// Counts since the last call.
+    std::string take_counts()
+    {
+        const int sent = sent_.exchange(0);
+        const int served = served_.exchange(0);
+        return std::to_string(served) + " of " + std::to_string(sent) +
+               " streaming requests of another tenant served whole";
+    }
+
+private:
+    std::atomic<bool> stopping_{false};
+    std::atomic<int> sent_{0};
+    std::atomic<int> served_{0};
+    std::thread thread_;
+};
+
 /// Items with a part in their prompts that crashes engines.
 int crashing_items(record_file& record)
 {
@@ -268,7 +325,7 @@
     store.put(
         names::state_topic, names::state_key,
         make_config(1, {make_route("chat", "streaming", "lm"), make_route("notes", "batch", "lm")},
-                    services, 1));
+                    services, 2));
     daemons fleet({0.5, 0.5}, store, record);
     fleet.start_all();
     const job_client client(record, 0);
@@ -276,6 +333,9 @@
         return not_run;
     }
     std::this_thread::sleep_for(seconds(4));
+    online_traffic online(fleet);
+    std::this_thread::sleep_for(seconds(4));
+    record.write("before the job: " + online.take_counts());
     for (const auto& engine : engines) {
         engine->crash_on_part("deadly", seconds(2));
     }
@@ -284,7 +344,10 @@
                       make_items("job-1", 10, "/notes/x", parts)) != 202) {
         return not_run;
     }
-    std::this_thread::sleep_for(seconds(40));
+    std::this_thread::sleep_for(seconds(10));
+    online.take_counts();
+    std::this_thread::sleep_for(seconds(30));
+    record.write("10 s after the job and later: " + online.take_counts());
     client.read(fleet.front(0), "job-1");
     std::vector<steady_clock::time_point> crashes;
     for (const auto& engine : engines) {
