edge, serving: the instances that report decide who owns job partitions, not those listed

Cause: may_own_jobs compared the own capacity with that of all registered instances. A lost one stays registered for 30 s, and followers read the list once only. Evidence: leadership_begun at a small instance, and no partition_owned at any; no line said who takes part, so job_ownership_begun and job_ownership_ended are added. Ruled out: a store that keeps the lost member (its partitions were free after 1.2 s); owners that calls don't reach (there was no owner). Change: the leader takes the largest capacity of the instances that report, don't leave and reach the store, and tells it in its heartbeats. job_owner_policy joins at once and leaves when a larger instance has been back for 10 s. A leader that hears fewer than half of the instances counts the others for 8 s.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -56,7 +56,7 @@
 constexpr milliseconds relay_read_age_max{1200};
 constexpr const char* metrics_path = "/metrics";
 
-/// Interval at which an instance that owns no jobs checks whether it may.
+/// Interval at which an instance checks whether it is to own jobs.
 constexpr milliseconds job_owner_check_interval{100};
 
 /// Time after the start at which followers begin to read the list of instances, when the reads that
@@ -129,7 +129,7 @@
                      std::unique_ptr<kernel::metrics> metrics)
     : settings_(std::move(settings)), loop_(std::move(loop)), logger_(std::move(logger)),
       metrics_(std::move(metrics)), translator_(std::move(translator)),
-      store_(std::move(durable_store))
+      store_(std::move(durable_store)), job_owner_policy_(settings_.job_owners)
 {
     const serving::fleet_member& self = settings_.self;
     state_version_gauge_ =
@@ -354,7 +354,7 @@
     fleet_->tick(now);
     crash_backup_->tick(fleet_->leads(), now);
     admission_->tick(now);
-    join_job_owners(now);
+    update_job_ownership(now);
     gateway_->tick(now);
     client_memory_->tick(now);
     jobs_->tick(now);
@@ -366,30 +366,27 @@
     });
 }
 
-void edge_node::join_job_owners(core::time_point now)
+void edge_node::update_job_ownership(core::time_point now)
 {
-    if (leaving_since_ || jobs_->joining() || now < job_owner_check_at_) {
+    if (leaving_since_ || now < job_owner_check_at_) {
         return;
     }
     job_owner_check_at_ = now + job_owner_check_interval;
-    serving::known_capacities known;
-    known.listed = registry_->largest_capacity();
-    if (const auto leader = fleet_->known_leader()) {
-        known.leader = leader->capacity;
-    }
-    const auto may_own = [&] {
-        return serving::may_own_jobs(settings_.self.capacity, known,
-                                     settings_.job_owner_capacity_min);
-    };
-    if (!may_own()) {
+    const std::optional<double> largest = fleet_->largest_owner_capacity();
+    const bool joined = jobs_->joining();
+    const bool owns = job_owner_policy_.update(settings_.self.capacity, joined, largest, now);
+    if (owns == joined) {
         return;
     }
-    for (const serving::fleet_member& member : fleet_->ready_members()) {
-        known.ready = std::max(known.ready, member.capacity);
-    }
-    if (may_own()) {
+    logger_->write(kernel::log_level::info, owns ? "job_ownership_begun" : "job_ownership_ended",
+                   {{"capacity", std::to_string(settings_.self.capacity)},
+                    {"largest", largest ? std::to_string(*largest) : std::string()}});
+    if (owns) {
         jobs_->start_joining();
     }
+    else {
+        jobs_->stop_joining();
+    }
 }
 
 void edge_node::poll_store(core::time_point now)
--- a/src/edge/edge_node.hpp
+++ b/src/edge/edge_node.hpp
@@ -66,8 +66,8 @@
     void apply_reloaded_settings(const tl::expected<reloaded_settings, std::string>& settings);
     void tick();
     void poll_store(core::time_point now);
-    /// Starts to take part in owning jobs, if this instance is large enough compared to the others.
-    void join_job_owners(core::time_point now);
+    /// Starts or stops taking part in owning jobs, by the capacity of this instance and the others.
+    void update_job_ownership(core::time_point now);
     /// Puts a desired state into force and returns its version, if it is newer than the one in
     /// force.
     std::optional<std::uint64_t> apply_state(const std::string& value, const char* source);
@@ -120,6 +120,7 @@
     /// Interval of this instance's reads of the desired state, with its jitter.
     std::chrono::milliseconds state_poll_interval_{0};
     std::size_t relay_index_ = 0;
+    serving::job_owner_policy job_owner_policy_;
     core::time_point job_owner_check_at_{};
     core::time_point started_at_ = std::chrono::steady_clock::now();
     std::optional<core::time_point> leaving_since_;
--- a/src/edge/edge_settings.hpp
+++ b/src/edge/edge_settings.hpp
@@ -63,9 +63,7 @@
     /// Interval of reads of the members while this instance leads, and while it knows no leader.
     std::chrono::milliseconds member_poll_interval{700};
     std::chrono::milliseconds leaderless_poll_interval{300};
-    /// An instance whose capacity is below this fraction of the largest one's owns no job
-    /// partitions.
-    double job_owner_capacity_min = 0.5;
+    serving::job_owner_settings job_owners;
     /// Maximum number of idle connections kept to one target.
     std::size_t target_pool_size = 8;
     /// A connection to a target that was idle for longer is not used for requests that may not be
--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -109,6 +109,7 @@
 
 void fleet_service::set_members(const std::vector<serving::fleet_member>& members)
 {
+    members_listed_ = true;
     roster_.set_registered(members, steady_clock::now());
     leadership_.set_members(members);
 }
@@ -118,9 +119,16 @@
     return leadership_.leads() || leadership_.leader(steady_clock::now()).has_value();
 }
 
-std::optional<serving::fleet_member> fleet_service::known_leader() const
+std::optional<double> fleet_service::largest_owner_capacity() const
 {
-    return leadership_.recent_leader(steady_clock::now());
+    const core::time_point now = steady_clock::now();
+    if (leadership_.leads()) {
+        // Instances that report first are often the smaller ones, of which there are more.
+        return members_listed_ ? std::optional(roster_.largest_owner_capacity(
+                                     leadership_.heartbeat_interval(), now))
+                               : std::nullopt;
+    }
+    return leadership_.leader(now) ? announced_owner_capacity_ : std::nullopt;
 }
 
 bool fleet_service::expects_leader() const
@@ -353,6 +361,7 @@
     }
     report_interval_ = std::max(heartbeat.interval, settings_.leadership.heartbeat_interval);
     announced_members_ = heartbeat.alive_members;
+    announced_owner_capacity_ = heartbeat.largest_capacity;
     evacuations_.merge(heartbeat.evacuations);
     record_store_read(now - heartbeat.store_age);
     check_state_version(heartbeat.leader.id, heartbeat.state_version);
@@ -613,6 +622,7 @@
     heartbeat.alive_members = static_cast<std::uint32_t>(roster_.alive_count());
     heartbeat.crash_marks_known = crash_marks(now);
     heartbeat.evacuations = evacuations_.knowledge();
+    heartbeat.largest_capacity = largest_owner_capacity();
     return heartbeat;
 }
 
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -125,8 +125,9 @@
     bool leads() const { return leadership_.leads(); }
     bool has_leader() const;
 
-    /// The leader (possibly this instance), if its last heartbeat is recent.
-    std::optional<serving::fleet_member> known_leader() const;
+    /// Largest capacity of the instances that may own job partitions now, as the leader knows them;
+    /// unset if there is no leader or it doesn't know all instances.
+    std::optional<double> largest_owner_capacity() const;
 
     /// Whether the search for a leader has lasted less than `leader_wait`, so that one is likely
     /// to be found soon.
@@ -290,6 +291,10 @@
     std::chrono::milliseconds report_interval_{0};
     /// Number of alive instances in the leader's last heartbeat.
     std::size_t announced_members_ = 0;
+    /// `leader_heartbeat::largest_capacity` of that heartbeat.
+    std::optional<double> announced_owner_capacity_;
+    /// The list of all instances has been read from the store.
+    bool members_listed_ = false;
     /// When this instance last became the leader.
     core::time_point leading_since_{};
     core::time_point term_announced_at_{};
--- a/src/edge/job_group.cpp
+++ b/src/edge/job_group.cpp
@@ -83,7 +83,7 @@
                         missed_assignment_ = missed_assignment_ ||
                                              assignment.error().failure == store_failure::unknown;
                     }
-                    else if (!leaving_) {
+                    else if (joining_ && !leaving_) {
                         on_joined(*assignment, now);
                     }
                 });
@@ -142,17 +142,24 @@
 
 void job_group::leave(std::function<void()> done)
 {
-    leaving_ = true;
     if (!joining_) {
         done();
         return;
     }
+    leaving_ = true;
     store_.leave(group_name, self_.value(),
-                 [alive = alive_, done = std::move(done)](const store_result<bool>&) {
+                 [this, alive = alive_, done = std::move(done)](const store_result<bool>&) {
                      // If the call failed, the store drops the member when its membership expires.
-                     if (*alive) {
-                         done();
+                     if (!*alive) {
+                         return;
                      }
+                     joining_ = false;
+                     leaving_ = false;
+                     generation_ = 0;
+                     formed_ = false;
+                     forming_since_.reset();
+                     releasing_since_.reset();
+                     done();
                  });
 }
 
--- a/src/edge/job_group.hpp
+++ b/src/edge/job_group.hpp
@@ -60,7 +60,7 @@
     /// Starts to join the group.
     void start_joining() { joining_ = true; }
 
-    /// Whether `start_joining` has been called.
+    /// Whether `start_joining` has been called, and `leave` has not completed since.
     bool joining() const { return joining_; }
 
     /// Joins the group if a join is due. To be called about every 20 ms.
@@ -70,7 +70,7 @@
     /// is still alive, it joins again.
     void remove_member(const core::instance_id& member);
 
-    /// Leaves the group and calls `done`.
+    /// Leaves the group and calls `done`. The group may be joined again afterwards.
     void leave(std::function<void()> done);
 
     /// When the last successful join was sent; unset if none has succeeded.
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -599,10 +599,8 @@
     // Records are written in order, so all are written once no write is pending.
     const auto poll_writer = std::make_shared<std::function<void()>>();
     *poll_writer = [this, alive = alive_, done, weak = std::weak_ptr(poll_writer)] {
-        if (!*alive) {
-            return;
-        }
-        if (writer_->pending() == 0 || lost_) {
+        // The partition has been removed if another owner has fenced it meanwhile.
+        if (!*alive || writer_->pending() == 0 || lost_) {
             done();
             return;
         }
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -441,6 +441,13 @@
     waiting_calls_.push_back(call);
 }
 
+void job_service::stop_joining()
+{
+    if (!leaving_) {
+        leave([this] { leaving_ = false; });
+    }
+}
+
 void job_service::leave(std::function<void()> done)
 {
     leaving_ = true;
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -59,8 +59,11 @@
     /// Starts to take part in the assignment of partitions.
     void start_joining() { group_.start_joining(); }
 
-    /// Whether `start_joining` has been called.
-    bool joining() const { return group_.joining(); }
+    /// Releases all partitions and leaves the group until `start_joining` is called again.
+    void stop_joining();
+
+    /// Whether this instance takes part in the assignment of partitions.
+    bool joining() const { return group_.joining() && !leaving_; }
 
     /// Handles a caller's call. `route` is set if the call submits a job, else null.
     void handle(const caller_request& request, const serving::route* route,
--- a/src/edge/member_registry.cpp
+++ b/src/edge/member_registry.cpp
@@ -2,7 +2,6 @@
 
 #include "fleet_wire/fleet_wire.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace gooseberryfall::edge {
@@ -74,18 +73,6 @@
     members_[key] = report->self;
 }
 
-std::optional<double> member_registry::largest_capacity() const
-{
-    if (!loaded()) {
-        return std::nullopt;
-    }
-    double largest = 0;
-    for (const auto& [key, member] : members_) {
-        largest = std::max(largest, member.capacity);
-    }
-    return largest;
-}
-
 void member_registry::notify()
 {
     std::vector<serving::fleet_member> members;
--- a/src/edge/member_registry.hpp
+++ b/src/edge/member_registry.hpp
@@ -37,9 +37,6 @@
     /// Removes the entry of an instance that has left or failed.
     void remove(const serving::fleet_member& member);
 
-    /// Largest capacity of a registered instance; unset until the entries have been read.
-    std::optional<double> largest_capacity() const;
-
     /// Whether the entries have been read.
     bool loaded() const { return last_read_sent_at().has_value(); }
 
--- a/src/fleet_wire/datagram_codec.cpp
+++ b/src/fleet_wire/datagram_codec.cpp
@@ -6,6 +6,7 @@
 #include "generated/fleet.capnp.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace gooseberryfall::fleet_wire {
@@ -32,6 +33,9 @@
     return rate.value_or(no_rate_limit);
 }
 
+/// Stands for the largest capacity while the leader doesn't know all instances.
+constexpr double unknown_capacity = std::numeric_limits<double>::infinity();
+
 std::optional<double> read_rate(double value)
 {
     return value >= 0 ? std::optional(value) : std::nullopt;
@@ -467,6 +471,7 @@
     write_entries(out.initCrashMarks(static_cast<unsigned>(in.crash_marks_known.size())),
                   in.crash_marks_known);
     write(out.initEvacuations(), in.evacuations);
+    out.setLargestCapacity(in.largest_capacity.value_or(unknown_capacity));
 }
 
 serving::leader_heartbeat read(schema::Digest::Reader in)
@@ -480,6 +485,14 @@
     out.alive_members = in.getMembers();
     out.crash_marks_known = read_entries(in.getCrashMarks());
     out.evacuations = read(in.getEvacuations());
+    const double capacity = in.getLargestCapacity();
+    if (capacity == 0) {
+        // An earlier version leads; it is one of the largest instances.
+        out.largest_capacity = out.leader.capacity;
+    }
+    else if (capacity > 0 && std::isfinite(capacity)) {
+        out.largest_capacity = capacity;
+    }
     return out;
 }
 
--- a/src/fleet_wire/fleet.capnp
+++ b/src/fleet_wire/fleet.capnp
@@ -235,6 +235,9 @@
   members @5 :UInt32;
   crashMarks @6 :List(CrashMark);
   evacuations @7 :Evacuations;
+  # Largest capacity of the instances that may own job partitions; infinite while the leader doesn't
+  # know all instances, 0 from a leader of an earlier version, which doesn't send it.
+  largestCapacity @8 :Float64;
 }
 
 # Blocks of the leader's view that are stale at the receiver.
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -278,6 +278,35 @@
     return latest;
 }
 
+bool fleet_roster::lags_behind_store(const member_state& state) const
+{
+    if (!state.reported_at || state.uptime < settings_.store_lag_max) {
+        return false;
+    }
+    return std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const member_state& other = entry.second;
+        return other.alive && other.reported_at &&
+               other.store_read_at > state.store_read_at + settings_.store_lag_max;
+    });
+}
+
+double fleet_roster::largest_owner_capacity(std::chrono::milliseconds interval,
+                                            core::time_point now) const
+{
+    const std::chrono::milliseconds time_to_report =
+        majority_reported() ? interval * settings_.missed_reports_max : settings_.isolation_hold;
+    double largest = 0;
+    for (const auto& [id, state] : members_) {
+        const bool expected =
+            state.registered && !state.exited && now - state.last_active_at <= time_to_report;
+        if ((state.alive || expected) && !state.leaving && state.member.capacity > largest &&
+            !lags_behind_store(state)) {
+            largest = state.member.capacity;
+        }
+    }
+    return largest;
+}
+
 std::vector<core::instance_id> fleet_roster::peers() const
 {
     std::vector<core::instance_id> result;
--- a/src/serving/fleet_roster.hpp
+++ b/src/serving/fleet_roster.hpp
@@ -18,6 +18,13 @@
     int missed_reports_max = 6;
     /// An instance that has not reported for this long is removed.
     std::chrono::milliseconds member_lifetime{30000};
+    /// An instance that can't be heard keeps its share of decisions by capacity for this long, if
+    /// fewer than half of the instances report: more likely this one is cut off than the others
+    /// gone.
+    std::chrono::milliseconds isolation_hold{8000};
+    /// An instance that last read the store so much earlier than the others can't own job
+    /// partitions.
+    std::chrono::milliseconds store_lag_max{5000};
     /// Minimum time before a block is sent again, as the report that acknowledges it may still be
     /// in flight.
     std::chrono::milliseconds block_resend_delay{250};
@@ -94,6 +101,11 @@
     /// Latest time at which any other instance that is alive has read the store, by its reports.
     std::optional<core::time_point> latest_peer_store_read() const;
 
+    /// Largest capacity of the instances that may own job partitions now: those that report, don't
+    /// leave and reach the store, and those that have still time to report. `interval` is the time
+    /// between reports. Zero if there are none.
+    double largest_owner_capacity(std::chrono::milliseconds interval, core::time_point now) const;
+
     /// All instances but this one.
     std::vector<core::instance_id> peers() const;
 
@@ -143,6 +155,8 @@
 
     /// Recomputes the owners and the view after a change.
     void rebuild_view();
+    /// Whether the instance has read the store much earlier than the one that read it last.
+    bool lags_behind_store(const member_state& state) const;
 
     core::instance_id self_;
     roster_settings settings_;
--- a/src/serving/job_owners.cpp
+++ b/src/serving/job_owners.cpp
@@ -1,17 +1,17 @@
 #include "serving/job_owners.hpp"
 
-#include <algorithm>
-
 namespace gooseberryfall::serving {
 
-bool may_own_jobs(double capacity, const known_capacities& known, double capacity_share_min)
+bool job_owner_policy::update(double capacity, bool owns, std::optional<double> largest,
+                              core::time_point now)
 {
-    if (!known.listed && !known.leader) {
-        return false;
+    const bool qualifies = largest && capacity >= settings_.capacity_share_min * *largest;
+    if (!owns || !largest || qualifies) {
+        unqualified_since_.reset();
+        return qualifies || (owns && !largest);
     }
-    const double largest =
-        std::max({known.listed.value_or(0), known.leader.value_or(0), known.ready});
-    return capacity >= capacity_share_min * largest;
+    unqualified_since_ = unqualified_since_.value_or(now);
+    return now - *unqualified_since_ < settings_.yield_delay;
 }
 
 } // namespace gooseberryfall::serving
--- a/src/serving/peer_messages.hpp
+++ b/src/serving/peer_messages.hpp
@@ -123,6 +123,9 @@
     crash_marks crash_marks_known;
     /// What the leader knows of the evacuations.
     evacuation_knowledge evacuations;
+    /// Largest capacity of the instances that may own job partitions; unset while the leader
+    /// doesn't know all instances.
+    std::optional<double> largest_capacity;
 };
 
 /// Blocks of the leader's fleet view that are stale at the receiver.
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -177,6 +177,9 @@
     settings.self.data_centre = core::data_centre_id("a");
     settings.self.callers_address = callers_address(instance);
     settings.self.started_at = 1'000'000 + ++start_count_;
+    if (instance < options_.capacities.size()) {
+        settings.self.capacity = options_.capacities[instance];
+    }
     settings.readiness_address = readiness_address(instance);
     settings.directory_address = directory_address(instance);
     settings.jobs.group.topics = 1;
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -42,6 +42,8 @@
         double cold_rate = 0;
         /// Data centres of the engines; those beyond the list are in `a`, as the instances are.
         std::vector<std::string> engine_data_centres{};
+        /// Capacities of the instances; those beyond the list have 1.
+        std::vector<double> capacities{};
     };
 
     explicit edge_deployment(options deployment_options);
--- a/tests/fleet_wire/codec_test.cpp
+++ b/tests/fleet_wire/codec_test.cpp
@@ -83,6 +83,7 @@
     heartbeat.interval = milliseconds(150);
     heartbeat.store_age = milliseconds(30);
     heartbeat.alive_members = 7;
+    heartbeat.largest_capacity = 0.25;
     const serving::request_trait part{serving::trait_kind::prompt_part, 5};
     const serving::request_trait whole{serving::trait_kind::whole_request, 6};
     heartbeat.evacuations = {41, {core::data_centre_id("a"), core::data_centre_id("b")}};
@@ -94,6 +95,9 @@
     cr_assert(decoded_heartbeat.store_age == milliseconds(30));
     cr_assert_eq(decoded_heartbeat.state_version, 4U);
     cr_assert_eq(decoded_heartbeat.alive_members, 7U);
+    cr_assert(decoded_heartbeat.largest_capacity == std::optional(0.25));
+    heartbeat.largest_capacity.reset();
+    cr_assert_not(round_trip(heartbeat).largest_capacity.has_value());
     cr_assert(decoded_heartbeat.evacuations == heartbeat.evacuations);
     serving::instance_report evacuation_report;
     evacuation_report.evacuations = {42, {core::data_centre_id("c")}};
