edge: an owner of job partitions whose membership may have lapsed verifies them by the log

Cause: job_group took an assignment for a continuation of the last one unless a join had ended without a response. A frozen process misses no response, since it sends no joins; nor does an instance that another one has removed from the group. Writes of a stale owner are fenced, its reads were not checked by anything. Evidence: no second partition_owned of the kept partitions at the woken instance, while those that it didn't have before were loaded; 404 for seconds after its join. job_assignment_interrupted now says why others may have owned. Ruled out: a reload without the records (there was none); answers before the join (503 by ownership_validity). Change: an assignment is continuous only if all joins were answered, the last one was sent less than a membership's lifetime before, and the generation has risen by one at most. Otherwise a kept partition raises the epoch of its appends, which fences all others, and compares the end of the log with what it has written; if others have written it is loaded anew under that epoch. A lost response of a join, after which all partitions were released, is treated in the same way. Until the ownership is confirmed, neither 404 nor an empty page is answered.

--- a/src/edge/job_group.cpp
+++ b/src/edge/job_group.cpp
@@ -95,12 +95,38 @@
     formed_ = formed_ || !changed || now - *forming_since_ >= settings_.formation_time;
 }
 
+const char* job_group::find_interruption(std::uint64_t new_generation,
+                                         core::time_point sent_at) const
+{
+    if (generation_ == 0 || new_generation == generation_) {
+        return nullptr;
+    }
+    if (missed_assignment_) {
+        return "join_unanswered";
+    }
+    // The store counts the lifetime from the arrival of a join, which is later. This process or its
+    // calls may have been held up, or the store may have refused them.
+    if (last_join_sent_at_ && sent_at - *last_join_sent_at_ >= settings_.membership_lifetime) {
+        return "membership_expired";
+    }
+    // A partition that was handed over and back has changed hands twice. That needs no missed join:
+    // another instance may have removed this one from the group.
+    return new_generation - generation_ > 1 ? "several_changes" : nullptr;
+}
+
 void job_group::on_joined(const group_assignment& assignment, core::time_point sent_at)
 {
-    last_join_sent_at_ = sent_at;
     const bool changed = assignment.generation != generation_;
-    const bool continuous = !changed || !std::exchange(missed_assignment_, false);
+    const char* interruption = find_interruption(assignment.generation, sent_at);
+    if (interruption != nullptr) {
+        logger_.write(kernel::log_level::info, "job_assignment_interrupted",
+                      {{"reason", interruption},
+                       {"generation_before", std::to_string(generation_)},
+                       {"generation", std::to_string(assignment.generation)}});
+    }
+    last_join_sent_at_ = sent_at;
     if (changed) {
+        missed_assignment_ = false;
         generation_ = assignment.generation;
         group_changed_at_ = steady_clock::now();
     }
@@ -117,7 +143,7 @@
         }
     };
     releasing_since_ = sent_at;
-    if (!on_assignment_(assignment, continuous, on_released)) {
+    if (!on_assignment_(assignment, interruption == nullptr, on_released)) {
         releasing_since_.reset();
     }
 }
--- a/src/edge/job_group.hpp
+++ b/src/edge/job_group.hpp
@@ -43,9 +43,9 @@
 /// can remove it once it has exited. To be used on the event loop's thread only.
 class job_group {
 public:
-    /// Called with the assigned partitions after each join. `continuous`: no earlier response was
-    /// missed, so a partition that was assigned before has had no other owner in between. Returns
-    /// whether partitions have to be released; if so, `released` is to be called once they are.
+    /// Called with the assigned partitions after each join. `continuous`: a partition that was
+    /// assigned before has certainly had no other owner in between. Returns whether partitions have
+    /// to be released; if so, `released` is to be called once they are.
     using assignment_callback = std::function<bool(
         const group_assignment& assignment, bool continuous, std::function<void()> released)>;
 
@@ -83,6 +83,9 @@
     void remove_predecessor();
     void join(core::time_point now);
     void on_joined(const group_assignment& assignment, core::time_point sent_at);
+    /// Why another member may have held partitions of this one since the last assignment; null if
+    /// none can have.
+    const char* find_interruption(std::uint64_t new_generation, core::time_point sent_at) const;
     std::chrono::milliseconds next_join_interval(core::time_point now) const;
     /// Ends the formation of the group once its generation lasts. `changed`: a join has shown
     /// another generation.
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint32_t min_remaining_tokens_divisor = 12;
 /// Delay before a failed step of taking over the log is retried.
 constexpr milliseconds takeover_retry_interval{150};
+/// Time limit of the read that shows whether another owner has written to the log. It returns a few
+/// bytes.
+constexpr milliseconds log_end_read_timeout{300};
 /// Interval of the checks for items to abandon and jobs to delete. Their lifetimes are seconds
 /// long, so that a coarse check is enough.
 constexpr milliseconds expiry_check_interval{250};
@@ -59,8 +62,13 @@
     }
 }
 
-void job_partition::start()
+void job_partition::start(std::optional<std::uint64_t> fenced_sequence)
 {
+    if (fenced_sequence) {
+        first_sequence_ = *fenced_sequence;
+        load(std::nullopt);
+        return;
+    }
     fence();
 }
 
@@ -109,6 +117,7 @@
                                loaded_keys_.add(record.key);
                                assembler_.add(record.key, std::move(record.value));
                            }
+                           loaded_end_offset_ = result->end_offset;
                            if (result->next_key) {
                                load(result->next_key);
                                return;
@@ -124,8 +133,9 @@
     }
     ledger_.finish_loading();
     writer_ = std::make_unique<job_writer>(
-        store_, context_.loop, log_partition_, log_writer{writer_name, epoch_, 0}, settings_.limits,
-        std::move(loaded_keys_), [this] { mark_lost("fenced by a newer owner"); });
+        store_, context_.loop, log_partition_, log_writer{writer_name, epoch_, first_sequence_},
+        settings_.limits, std::move(loaded_keys_), loaded_end_offset_,
+        [this] { mark_lost("fenced by a newer owner"); });
     context_.logger.write(kernel::log_level::info, "partition_owned",
                           {{"topic", log_partition_.topic},
                            {"partition", std::to_string(log_partition_.partition)},
@@ -133,6 +143,63 @@
                            {"open_items", std::to_string(ledger_.pending_items())},
                            {"unreadable", std::to_string(assembler_.unreadable_count())}});
     context_.fleet.trigger_report();
+    if (unverified_epoch_) {
+        start_verification();
+    }
+}
+
+void job_partition::verify_ownership(std::uint64_t epoch)
+{
+    unverified_epoch_ = epoch;
+    if (is_loaded()) {
+        start_verification();
+    }
+}
+
+void job_partition::start_verification()
+{
+    writer_->raise_epoch(*unverified_epoch_,
+                         [this, alive = alive_, epoch = *unverified_epoch_](write_outcome outcome) {
+                             if (*alive && outcome == write_outcome::written) {
+                                 check_log_end(epoch);
+                             }
+                         });
+}
+
+void job_partition::check_log_end(std::uint64_t epoch)
+{
+    if (lost_ || unverified_epoch_ != epoch) {
+        return;
+    }
+    store_.read(log_partition_, writer_->end_offset(), log_end_read_timeout,
+                [this, alive = alive_, epoch](const store_result<log_page>& result) {
+                    if (*alive) {
+                        on_log_end(result, epoch);
+                    }
+                });
+}
+
+void job_partition::on_log_end(const store_result<log_page>& result, std::uint64_t epoch)
+{
+    const bool expired = !result && result.error().failure == store_failure::expired;
+    const bool longer = result && result->end_offset > writer_->end_offset();
+    // The additional records may be those of an append that is in progress.
+    if ((expired || longer) && writer_->pending() == 0) {
+        reload_sequence_ = writer_->sequence();
+        mark_lost("another owner has written to the log");
+        return;
+    }
+    if (result && !longer) {
+        if (unverified_epoch_ == epoch) {
+            unverified_epoch_.reset();
+        }
+        return;
+    }
+    context_.loop.post_after(takeover_retry_interval, [this, alive = alive_, epoch] {
+        if (*alive) {
+            check_log_end(epoch);
+        }
+    });
 }
 
 void job_partition::mark_lost(const std::string& reason)
@@ -155,9 +222,10 @@
 }
 
 void job_partition::handle(const core::team_id& team, const job_call& call,
-                           bool ownership_confirmed, const job_response_callback& done)
+                           bool membership_confirmed, const job_response_callback& done)
 {
     assert(serves());
+    const bool confirmed = membership_confirmed && is_verified();
     if (const auto* submission = std::get_if<submit_job>(&call)) {
         handle_submit(team, *submission, done);
         return;
@@ -168,13 +236,12 @@
                                        },
                                        call);
     if (!ledger_.has(job) || ledger_.team_of(job) != team) {
-        done(ownership_confirmed ? job_outcome::not_found : job_outcome::unavailable,
-             default_retry_after);
+        done(confirmed ? job_outcome::not_found : job_outcome::unavailable, default_retry_after);
         return;
     }
     std::visit(core::visitors{
                    [](const submit_job&) {},
-                   [&](const read_results& request) { handle_read(request, done); },
+                   [&](const read_results& request) { handle_read(request, confirmed, done); },
                    [&](const read_item& request) {
                        const std::string* body = ledger_.body(request.job, request.item);
                        if (body == nullptr) {
@@ -256,15 +323,29 @@
     }
 }
 
-void job_partition::handle_read(const read_results& call, const job_response_callback& done)
+void job_partition::handle_read(const read_results& call, bool confirmed,
+                                const job_response_callback& done)
 {
     const results_page page = make_results_page(call.job, call.first_position);
-    if (!page.results.empty() || call.wait <= milliseconds(0) || page.next_position >= page.total) {
-        done(page, {});
+    const bool may_wait = page.results.empty() && page.next_position < page.total;
+    if (may_wait && call.wait > milliseconds(0)) {
+        pending_reads_.push_back(
+            {call.job, call.first_position, steady_clock::now() + call.wait, done});
+        return;
+    }
+    respond_with_page(page, confirmed, done);
+}
+
+void job_partition::respond_with_page(const results_page& page, bool confirmed,
+                                      const job_response_callback& done)
+{
+    // Another owner may have shown results at a position where this one has none.
+    const bool lacks_results = page.results.empty() && page.next_position < page.total;
+    if (lacks_results && !confirmed) {
+        done(job_outcome::unavailable, default_retry_after);
         return;
     }
-    pending_reads_.push_back(
-        {call.job, call.first_position, steady_clock::now() + call.wait, done});
+    done(page, {});
 }
 
 results_page job_partition::make_results_page(const std::string& job,
@@ -341,7 +422,7 @@
     return static_cast<std::uint32_t>(remaining);
 }
 
-void job_partition::tick(core::time_point now)
+void job_partition::tick(core::time_point now, bool membership_confirmed)
 {
     if (!is_loaded() || lost_ || releasing_) {
         return;
@@ -353,7 +434,8 @@
         }
         const pending_read timed_out = std::move(*read);
         read = pending_reads_.erase(read);
-        timed_out.done(make_results_page(timed_out.job, timed_out.first_position), {});
+        respond_with_page(make_results_page(timed_out.job, timed_out.first_position),
+                          membership_confirmed && is_verified(), timed_out.done);
     }
     if (now - expiry_checked_at_ >= expiry_check_interval) {
         expiry_checked_at_ = now;
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -50,7 +50,7 @@
 class job_partition {
 public:
     /// Precondition: `epoch` is higher than that of every earlier owner. `on_lost` is called when
-    /// another instance has taken over the partition.
+    /// another instance has taken over the partition, now or in between.
     job_partition(edge_context& context, store& durable_store, topic_partition log_partition,
                   std::uint64_t epoch, partition_settings settings, std::function<void()> on_lost);
     ~job_partition();
@@ -59,8 +59,9 @@
     job_partition(job_partition&&) = delete;
     job_partition& operator=(job_partition&&) = delete;
 
-    /// Starts to take over the log.
-    void start();
+    /// Starts to take over the log. `fenced_sequence`: this instance has written under the epoch
+    /// already, last with this sequence number, so that earlier owners are fenced.
+    void start(std::optional<std::uint64_t> fenced_sequence = {});
 
     /// Replaces `partition_settings::results_retention`.
     void set_results_retention(std::chrono::milliseconds retention)
@@ -77,19 +78,32 @@
     /// Whether this partition accepts calls.
     bool serves() const { return is_loaded() && !lost_ && !releasing_; }
 
-    /// Serves a call of a team. Precondition: `serves()`. `ownership_confirmed`: no other instance
-    /// can have taken over the partition unnoticed, so a job that isn't found here doesn't exist.
-    void handle(const core::team_id& team, const job_call& call, bool ownership_confirmed,
+    /// Serves a call of a team. Precondition: `serves()`. `membership_confirmed`: this instance is
+    /// certainly in the group. Else, and while the ownership is being verified, another instance
+    /// may have taken over the partition: what isn't known here may exist.
+    void handle(const core::team_id& team, const job_call& call, bool membership_confirmed,
                 const job_response_callback& done);
 
     /// Starts items, writes progress and abandons expired items. To be called about every 20 ms.
-    void tick(core::time_point now);
+    /// `membership_confirmed`: as in `handle`.
+    void tick(core::time_point now, bool membership_confirmed);
+
+    /// Another instance may have owned the partition in between. Fences it with this epoch, which
+    /// is higher than its own, and finds out from the log whether it has written there. If so, the
+    /// partition is lost, since the ledger lacks those records.
+    void verify_ownership(std::uint64_t epoch);
 
     /// Stops all runs, writes the progress of their items and calls `done`.
     void release(const std::function<void()>& done);
 
-    /// Epoch of this ownership, by which the store fences earlier owners.
-    std::uint64_t epoch() const { return epoch_; }
+    /// Sequence number with which `start` can load the log anew under `epoch()`, if another owner
+    /// has written to it and has been fenced.
+    std::optional<std::uint64_t> reload_sequence() const { return reload_sequence_; }
+
+    /// Epoch with which the partition was taken over. Identifies this object.
+    std::uint64_t first_epoch() const { return epoch_; }
+    /// Epoch by which the store fences earlier owners.
+    std::uint64_t epoch() const { return is_loaded() ? writer_->epoch() : epoch_; }
     /// Number of items that run or wait for a slot.
     std::size_t running() const { return runs_.size(); }
     std::size_t pending_item_count() const { return ledger_.pending_items(); }
@@ -105,12 +119,20 @@
     void fence();
     void load(const std::optional<std::string>& after);
     void on_loaded();
+    void start_verification();
+    /// `epoch`: as in `verify_ownership`.
+    void check_log_end(std::uint64_t epoch);
+    void on_log_end(const store_result<log_page>& result, std::uint64_t epoch);
+    /// Whether no other instance can have written to the log.
+    bool is_verified() const { return !unverified_epoch_; }
     void mark_lost(const std::string& reason);
     void handle_submit(const core::team_id& team, const submit_job& call,
                        const job_response_callback& done);
     void respond_after_write(const serving::job_record& record, job_outcome outcome,
                              const job_response_callback& done, std::function<void()> on_written);
-    void handle_read(const read_results& call, const job_response_callback& done);
+    void handle_read(const read_results& call, bool confirmed, const job_response_callback& done);
+    static void respond_with_page(const results_page& page, bool confirmed,
+                                  const job_response_callback& done);
     void complete_reads(const std::string& job);
     results_page make_results_page(const std::string& job, std::uint32_t first_position) const;
     void handle_cancel(const cancel_job& call, const job_response_callback& done);
@@ -148,6 +170,13 @@
     core::time_point expiry_checked_at_{};
     /// Average milliseconds per token, from completed items.
     double token_time_ms_;
+    /// Offset after the last record that was loaded.
+    std::uint64_t loaded_end_offset_ = 0;
+    /// Sequence number of the last append before the log was loaded.
+    std::uint64_t first_sequence_ = 0;
+    std::optional<std::uint64_t> reload_sequence_;
+    /// Epoch of the last call of `verify_ownership`, until its outcome is known.
+    std::optional<std::uint64_t> unverified_epoch_;
     bool lost_ = false;
     bool releasing_ = false;
     /// Set to false by the destructor; pending callbacks check it.
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -119,19 +119,29 @@
     context_.fleet.trigger_report();
 }
 
-void job_service::take_over(std::uint32_t partition, std::uint64_t epoch)
+void job_service::take_over(std::uint32_t partition, std::uint64_t epoch,
+                            std::optional<std::uint64_t> fenced_sequence)
 {
     auto added = std::make_unique<job_partition>(
         context_, store_, log_partition_of(partition), epoch, settings_.partition,
-        [this, partition, epoch] {
-            const auto lost = partitions_.find(partition);
-            if (lost != partitions_.end() && lost->second->epoch() == epoch) {
-                remove_partition(partition, "partition_given_up");
-            }
-        });
+        [this, partition, epoch] { on_partition_lost(partition, epoch); });
     job_partition& started = *added;
     partitions_.emplace(partition, std::move(added));
-    started.start();
+    started.start(fenced_sequence);
+}
+
+void job_service::on_partition_lost(std::uint32_t partition, std::uint64_t first_epoch)
+{
+    const auto lost = partitions_.find(partition);
+    if (lost == partitions_.end() || lost->second->first_epoch() != first_epoch) {
+        return;
+    }
+    const std::uint64_t epoch = lost->second->epoch();
+    const std::optional<std::uint64_t> reload_sequence = lost->second->reload_sequence();
+    remove_partition(partition, "partition_given_up");
+    if (reload_sequence) {
+        take_over(partition, epoch, reload_sequence);
+    }
 }
 
 bool job_service::on_assignment(const group_assignment& assignment, bool continuous,
@@ -145,21 +155,24 @@
     }
     std::vector<std::uint32_t> lost;
     for (const auto& [number, partition] : partitions_) {
-        if (!assigned.contains(number) || !continuous) {
+        if (!assigned.contains(number)) {
             lost.push_back(number);
         }
+        else if (!continuous) {
+            partition->verify_ownership(assignment.generation);
+        }
     }
     const auto remaining = std::make_shared<std::size_t>(lost.size());
     for (const std::uint32_t number : lost) {
         job_partition& partition = *partitions_.at(number);
         // The progress has to be written before another instance loads it.
         partition.release(
-            [this, alive = alive_, remaining, number, epoch = partition.epoch(), released] {
+            [this, alive = alive_, remaining, number, epoch = partition.first_epoch(), released] {
                 if (!*alive) {
                     return;
                 }
                 const auto found = partitions_.find(number);
-                if (found != partitions_.end() && found->second->epoch() == epoch) {
+                if (found != partitions_.end() && found->second->first_epoch() == epoch) {
                     remove_partition(number, "partition_reassigned");
                 }
                 if (--*remaining == 0) {
@@ -198,8 +211,9 @@
 {
     group_.tick(now);
     remove_superseded();
+    const bool confirmed = is_membership_confirmed(now);
     for (const auto& [number, partition] : partitions_) {
-        partition->tick(now);
+        partition->tick(now, confirmed);
     }
     retry_waiting_calls(now);
     partitions_gauge_.set(static_cast<double>(partitions_.size()));
@@ -351,12 +365,15 @@
     }
 }
 
-void job_service::handle_locally(job_partition& partition, const routed_call& call)
+bool job_service::is_membership_confirmed(core::time_point now) const
 {
     const auto joined = group_.last_join_sent_at();
-    const bool ownership_confirmed =
-        joined && steady_clock::now() - *joined < settings_.ownership_validity;
-    partition.handle(call.team, call.call, ownership_confirmed,
+    return joined && now - *joined < settings_.ownership_validity;
+}
+
+void job_service::handle_locally(job_partition& partition, const routed_call& call)
+{
+    partition.handle(call.team, call.call, is_membership_confirmed(steady_clock::now()),
                      [this, alive = alive_, caller = call.caller](const job_response& result,
                                                                   milliseconds retry_after) {
                          if (*alive) {
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -122,7 +122,10 @@
     std::optional<std::uint32_t> partition_number(const topic_partition& log_partition) const;
     bool on_assignment(const group_assignment& assignment, bool continuous,
                        const std::function<void()>& released);
-    void take_over(std::uint32_t partition, std::uint64_t epoch);
+    /// `fenced_sequence`: as in `job_partition::start`.
+    void take_over(std::uint32_t partition, std::uint64_t epoch,
+                   std::optional<std::uint64_t> fenced_sequence = {});
+    void on_partition_lost(std::uint32_t partition, std::uint64_t first_epoch);
     /// `event` is the name of the log event.
     void remove_partition(std::uint32_t partition, const char* event);
     bool is_superseded(std::uint32_t number, const job_partition& partition) const;
@@ -138,6 +141,8 @@
     void on_forwarded(const serving::partition_owner& owner,
                       const std::shared_ptr<routed_call>& call, const http::call_result& result);
     bool store_unreachable(core::time_point now) const;
+    /// Whether this instance has certainly been in the group a moment ago.
+    bool is_membership_confirmed(core::time_point now) const;
     /// Time limit of a forwarded call.
     std::chrono::milliseconds owner_response_timeout() const;
     /// Answers that the call can't be served and had no effect, unless it may have run.
--- a/src/edge/job_writer.cpp
+++ b/src/edge/job_writer.cpp
@@ -37,10 +37,10 @@
 
 job_writer::job_writer(store& durable_store, http::event_loop& loop, topic_partition log_partition,
                        log_writer writer, store_limits limits, fleet_wire::job_key_index keys,
-                       std::function<void()> on_fenced)
+                       std::uint64_t end_offset, std::function<void()> on_fenced)
     : store_(durable_store), loop_(loop), log_partition_(std::move(log_partition)),
       writer_(std::move(writer)), limits_(reduce_limits(limits)), on_fenced_(std::move(on_fenced)),
-      keys_(std::move(keys))
+      keys_(std::move(keys)), end_offset_(end_offset)
 {
 }
 
@@ -56,26 +56,31 @@
     for (const keyed_record& part : parts) {
         keys_.add(part.key);
     }
-    enqueue(std::move(parts), std::move(done));
+    enqueue({std::move(parts), std::move(done)});
+}
+
+void job_writer::raise_epoch(std::uint64_t epoch, std::function<void(write_outcome)> done)
+{
+    enqueue({{}, std::move(done), epoch});
 }
 
 void job_writer::delete_job(const std::string& job)
 {
     std::vector<keyed_record> parts = keys_.take_tombstones(job);
     if (!parts.empty()) {
-        enqueue(std::move(parts), {});
+        enqueue({std::move(parts), {}});
     }
 }
 
-void job_writer::enqueue(std::vector<keyed_record> parts, std::function<void(write_outcome)> done)
+void job_writer::enqueue(queued_write write)
 {
     if (fenced_) {
-        if (done) {
-            done(write_outcome::fenced);
+        if (write.done) {
+            write.done(write_outcome::fenced);
         }
         return;
     }
-    queue_.push_back({std::move(parts), std::move(done)});
+    queue_.push_back(std::move(write));
     start_next_append();
 }
 
@@ -84,8 +89,17 @@
     if (appending_ || queue_.empty() || fenced_) {
         return;
     }
+    if (const auto epoch = queue_.front().epoch) {
+        writer_.epoch = *epoch;
+        writer_.sequence = 1;
+        in_flight_.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+        appending_ = true;
+        send_append();
+        return;
+    }
     std::size_t bytes = 0;
-    while (!queue_.empty()) {
+    while (!queue_.empty() && !queue_.front().epoch) {
         queued_write& next = queue_.front();
         std::size_t batched = 0;
         while (batched < next.parts.size() &&
@@ -121,6 +135,9 @@
 void job_writer::on_append_result(const store_result<std::uint64_t>& result)
 {
     if (result) {
+        if (!append_records_.empty()) {
+            end_offset_ = std::max(end_offset_, *result);
+        }
         append_records_.clear();
         appending_ = false;
         const auto alive = alive_;
--- a/src/edge/job_writer.hpp
+++ b/src/edge/job_writer.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,11 +41,11 @@
 /// used on the event loop's thread only.
 class job_writer {
 public:
-    /// `keys` are the keys of the records in the log. `on_fenced` is called once, when another
-    /// writer has taken over the partition.
+    /// `keys` are the keys of the records in the log, which ends at `end_offset`. `on_fenced` is
+    /// called once, when another writer has taken over the partition.
     job_writer(store& durable_store, http::event_loop& loop, topic_partition log_partition,
                log_writer writer, store_limits limits, fleet_wire::job_key_index keys,
-               std::function<void()> on_fenced);
+               std::uint64_t end_offset, std::function<void()> on_fenced);
     ~job_writer();
     job_writer(const job_writer&) = delete;
     job_writer& operator=(const job_writer&) = delete;
@@ -58,6 +59,18 @@
     /// was passed to `write` before or read from the log.
     void delete_job(const std::string& job);
 
+    /// Writes under a higher epoch from here on, so that the store rejects appends of all owners
+    /// with a lower one, and calls `done`.
+    void raise_epoch(std::uint64_t epoch, std::function<void(write_outcome)> done);
+
+    /// Epoch and sequence number of the current append, or of the last one.
+    std::uint64_t epoch() const { return writer_.epoch; }
+    std::uint64_t sequence() const { return writer_.sequence; }
+
+    /// Offset after the last record that this writer is known to have written, or that was in the
+    /// log before. The log is longer if another writer has written.
+    std::uint64_t end_offset() const { return end_offset_; }
+
     /// Number of writes that aren't known to be complete.
     std::size_t pending() const { return queue_.size() + in_flight_.size(); }
 
@@ -65,9 +78,11 @@
     struct queued_write {
         std::vector<keyed_record> parts;
         std::function<void(write_outcome)> done;
+        /// Set for a change of the epoch, which has no records.
+        std::optional<std::uint64_t> epoch{};
     };
 
-    void enqueue(std::vector<keyed_record> parts, std::function<void(write_outcome)> done);
+    void enqueue(queued_write write);
     void start_next_append();
     void send_append();
     void on_append_result(const store_result<std::uint64_t>& result);
@@ -79,6 +94,7 @@
     store_limits limits_;
     std::function<void()> on_fenced_;
     fleet_wire::job_key_index keys_;
+    std::uint64_t end_offset_;
     std::deque<queued_write> queue_;
     /// Writes whose last part is in the current append.
     std::vector<queued_write> in_flight_;
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -101,6 +101,7 @@
     put_state(1, {"key-a"});
     nodes.resize(options_.instances);
     logs_.resize(options_.instances);
+    loops_.resize(options_.instances);
     for (std::size_t index = 0; index < options_.instances; ++index) {
         store_listeners_.push_back(store.open_listener());
     }
@@ -193,17 +194,19 @@
     gooseberryfall::kernel::logger_settings log;
     logs_.at(instance) = std::make_unique<std::ostringstream>();
     log.out = logs_.at(instance).get();
-    nodes.at(instance) = edge::edge_node::builder()
-                             .with_settings(settings)
-                             .with_protocol(std::make_unique<adapter::platform_protocol>())
-                             .with_store([store_address](http::event_loop& loop,
-                                                         gooseberryfall::kernel::metrics& metrics) {
-                                 adapter::log_store_settings client;
-                                 client.address = store_address;
-                                 return std::make_unique<adapter::log_store>(loop, metrics, client);
-                             })
-                             .with_log(log)
-                             .build();
+    nodes.at(instance) =
+        edge::edge_node::builder()
+            .with_settings(settings)
+            .with_protocol(std::make_unique<adapter::platform_protocol>())
+            .with_store([&node_loop = loops_.at(instance), store_address](
+                            http::event_loop& loop, gooseberryfall::kernel::metrics& metrics) {
+                node_loop = &loop;
+                adapter::log_store_settings client;
+                client.address = store_address;
+                return std::make_unique<adapter::log_store>(loop, metrics, client);
+            })
+            .with_log(log)
+            .build();
     const auto started = nodes.at(instance)->start();
     if (!started) {
         throw std::runtime_error(started.error());
@@ -226,6 +229,11 @@
     start(instance);
 }
 
+void edge_deployment::freeze(std::size_t instance, milliseconds duration)
+{
+    loops_.at(instance)->post([duration] { std::this_thread::sleep_for(duration); });
+}
+
 std::string edge_deployment::callers_address(std::size_t instance) const
 {
     return endpoint(instance, callers_port);
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -82,6 +82,8 @@
     std::string log_output(std::size_t instance) const;
     /// Restarts a killed instance.
     void restart(std::size_t instance);
+    /// Blocks the event loop of an instance for this time, as if its process were stopped.
+    void freeze(std::size_t instance, std::chrono::milliseconds duration);
 
     /// Sends a stream request to an instance.
     gooseberryfall::http::call_result stream(std::size_t instance, const std::string& id,
@@ -124,6 +126,8 @@
     options options_;
     std::vector<std::size_t> store_listeners_;
     std::vector<std::unique_ptr<std::ostringstream>> logs_;
+    /// Of the instances, which own them.
+    std::vector<gooseberryfall::http::event_loop*> loops_;
     std::int64_t start_count_ = 0;
 };
 
