edge: a leader that has stalled steps down before it answers what has waited for it

The leadership ends at the first tick after a stall of 0.3 s, but messages and own requests that have waited may be handled before that tick, and were decided on with what the former leader knew. Change: each message and each own request checks for a stall first. Measured: serving_leadership_test stall_is_noticed_between_ticks (new) and its 13 earlier cases pass.

--- a/src/edge/fleet_service.cpp
+++ b/src/edge/fleet_service.cpp
@@ -190,9 +190,18 @@
     send_to_leader(serving::instance_exited{instance});
 }
 
+void fleet_service::end_stalled_leadership(core::time_point now)
+{
+    // After a stall, messages and requests that have waited may be handled before the next tick.
+    if (leadership_.leads() && leadership_.has_stalled(now)) {
+        update_leadership(now);
+    }
+}
+
 bool fleet_service::send_to_leader(const peer_message& message)
 {
     const core::time_point now = steady_clock::now();
+    end_stalled_leadership(now);
     if (leadership_.leads()) {
         std::visit(core::visitors{
                        [&](const serving::admission_request& admission) {
@@ -287,6 +296,7 @@
 void fleet_service::on_message(const core::instance_id& from, peer_message message)
 {
     const core::time_point now = steady_clock::now();
+    end_stalled_leadership(now);
     const bool leads = leadership_.leads();
     std::visit(core::visitors{
                    [&](const serving::admission_request& admission) {
--- a/src/edge/fleet_service.hpp
+++ b/src/edge/fleet_service.hpp
@@ -217,6 +217,8 @@
     void log_rejection(const core::instance_id& to, const serving::peer_message& message);
     void log_quarantine_events();
     void update_leadership(core::time_point now);
+    /// Ends the leadership of a process that has stalled, before it decides anything.
+    void end_stalled_leadership(core::time_point now);
     void become_leader(core::time_point now);
     void tick_leader(core::time_point now);
     /// Updates the metrics of the teams' shares and logs those over their share.
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -148,7 +148,7 @@
 
 void leadership::tick(core::time_point now, bool store_readable, bool peer_is_newer)
 {
-    const bool stalled = now - last_tick_at_ > settings_.stall_max;
+    const bool stalled = has_stalled(now);
     last_tick_at_ = now;
     if (withdrawn_) {
         return;
--- a/src/serving/leadership.hpp
+++ b/src/serving/leadership.hpp
@@ -115,6 +115,13 @@
 
     bool leads() const { return leads_; }
 
+    /// Whether the process has stalled since the last `tick` for so long that it has probably been
+    /// replaced if it leads. The next `tick` ends its leadership; until then it must not decide.
+    bool has_stalled(core::time_point now) const
+    {
+        return now - last_tick_at_ > settings_.stall_max;
+    }
+
     /// The leader, if its heartbeats are recent and it is not this instance.
     std::optional<core::instance_id> leader(core::time_point now) const;
 
--- a/tests/serving/leadership_test.cpp
+++ b/tests/serving/leadership_test.cpp
@@ -246,3 +246,17 @@
     }
     cr_assert_eq(queried.size(), 299U, "all other instances are queried eventually");
 }
+
+// Guards against a former leader that answers what has waited for it during a stall, before its
+// next tick.
+Test(leadership, stall_is_noticed_between_ticks)
+{
+    leadership self(member("a"), {}, start);
+    cr_assert(time_to_lead(self, seconds(3)).has_value());
+    const core::time_point led_at = start + seconds(3);
+    self.tick(led_at, true, false);
+    self.tick(led_at + milliseconds(20), true, false);
+    const core::time_point last_tick_at = led_at + milliseconds(20);
+    cr_assert_not(self.has_stalled(last_tick_at + milliseconds(300)));
+    cr_assert(self.has_stalled(last_tick_at + milliseconds(320)));
+}
