edge: items and requests that wait for a slot follow their route when it moves

Cause: an item_run keeps the service for which it was started while it waits for a slot; nothing looked at it when a new desired state was put into force. Evidence: state_taken, then neither item_sent nor item_run_ended for the items that waited. Ruled out: items started for the old service later (start_items reads the state at each tick); the leader's queue, which rightly keeps items of a service whose targets may come back. Change: when a state is put into force, waiting items whose route is gone or goes elsewhere are withdrawn and started by the new state; online requests that wait are asked for again. Each attempt of an online request (retry, hedge, resumed stream) chooses its service by the state in force.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -207,15 +207,26 @@
 void caller_gateway::handle_online(admitted_request request,
                                    std::shared_ptr<http::responder> caller)
 {
-    ++open_requests_;
-    const auto exchange = std::make_shared<online_exchange>(
-        context_, std::move(request), std::move(caller), [this](const exchange_result& result) {
-            --open_requests_;
-            record_result(result);
-        });
+    const std::uint64_t number = next_exchange_++;
+    const auto exchange =
+        std::make_shared<online_exchange>(context_, std::move(request), std::move(caller),
+                                          [this, number](const exchange_result& result) {
+                                              exchanges_.erase(number);
+                                              record_result(result);
+                                          });
+    exchanges_.emplace(number, exchange);
     exchange->start();
 }
 
+void caller_gateway::on_state_changed()
+{
+    for (const auto& [number, open] : exchanges_) {
+        if (const auto exchange = open.lock()) {
+            exchange->on_state_changed();
+        }
+    }
+}
+
 void caller_gateway::record_result(const exchange_result& result)
 {
     if (result.rejection) {
--- a/src/edge/caller_gateway.hpp
+++ b/src/edge/caller_gateway.hpp
@@ -4,6 +4,7 @@
 #include "edge/job_service.hpp"
 #include "edge/online_exchange.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,11 +35,14 @@
     /// whose time limit ends later, because their responses might be cut.
     void set_exit_time(core::time_point exit_at) { exit_at_ = exit_at; }
 
+    /// Another desired state is in force.
+    void on_state_changed();
+
     /// Rejects all requests from now on, before this instance exits.
     void begin_drain() { draining_ = true; }
 
     /// Number of online requests whose response is not complete yet.
-    std::size_t open_requests() const { return open_requests_; }
+    std::size_t open_requests() const { return exchanges_.size(); }
 
 private:
     struct pending_request {
@@ -70,7 +74,9 @@
 
     edge_context& context_;
     job_service& jobs_;
-    std::size_t open_requests_ = 0;
+    /// Online requests that haven't ended, by the order in which they came.
+    std::map<std::uint64_t, std::weak_ptr<online_exchange>> exchanges_;
+    std::uint64_t next_exchange_ = 0;
     bool draining_ = false;
     std::optional<core::time_point> exit_at_;
     /// Requests that wait for the first desired state.
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -461,6 +461,8 @@
     fleet_->set_state(*state);
     admission_->set_state(*state);
     context_->routes = std::make_shared<const serving::route_table>(std::move(*state));
+    jobs_->on_state_changed();
+    gateway_->on_state_changed();
     return version;
 }
 
--- a/src/edge/item_run.hpp
+++ b/src/edge/item_run.hpp
@@ -64,6 +64,12 @@
     /// Ends the run without calling back.
     void stop();
 
+    /// Whether it waits for a slot, so that no target has got the item in this run.
+    bool is_waiting() const { return target_.empty() && !done_; }
+
+    /// Host with which the item is sent.
+    const std::string& host() const { return input_.host; }
+
     /// Service whose targets run the item.
     const core::service_id& service() const { return input_.service; }
 
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -663,6 +663,28 @@
     }
 }
 
+void job_partition::on_state_changed()
+{
+    for (auto run = runs_.begin(); run != runs_.end();) {
+        const auto current = run++;
+        const auto [key, waiting] = *current;
+        const serving::route* route =
+            context_.routes->find_route_by_name(ledger_.route_of(key.job));
+        const bool unchanged = route != nullptr && route->host == waiting->host() &&
+                               serving::sends_to(*route, waiting->service());
+        if (unchanged || !waiting->is_waiting()) {
+            continue;
+        }
+        context_.logger.write(kernel::log_level::info, "item_withdrawn",
+                              {{"job", key.job},
+                               {"id", ledger_.item_id(key)},
+                               {"service", waiting->service().value()}});
+        runs_.erase(current);
+        waiting->stop();
+        ledger_.set_running(key, false);
+    }
+}
+
 void job_partition::release(const std::function<void()>& done)
 {
     releasing_ = true;
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -93,6 +93,10 @@
     /// partition is lost, since the ledger lacks those records.
     void verify_ownership(std::uint64_t epoch);
 
+    /// Another desired state is in force: withdraws the items that wait for a slot as their route
+    /// no longer has it. They are started anew as it is now.
+    void on_state_changed();
+
     /// Stops all runs, writes the progress of their items and calls `done`.
     void release(const std::function<void()>& done);
 
--- a/src/edge/job_service.cpp
+++ b/src/edge/job_service.cpp
@@ -220,6 +220,13 @@
     running_gauge_.set(static_cast<double>(running()));
 }
 
+void job_service::on_state_changed()
+{
+    for (const auto& [number, partition] : partitions_) {
+        partition->on_state_changed();
+    }
+}
+
 void job_service::respond(const std::shared_ptr<http::responder>& caller,
                           const job_response& response, milliseconds retry_after)
 {
--- a/src/edge/job_service.hpp
+++ b/src/edge/job_service.hpp
@@ -78,6 +78,9 @@
     /// Sets `partition_settings::results_retention` for all partitions.
     void set_results_retention(std::chrono::milliseconds retention);
 
+    /// Another desired state is in force.
+    void on_state_changed();
+
     /// Removes an instance that has exited, so that its partitions are reassigned.
     void remove_instance(const core::instance_id& instance) { group_.remove_member(instance); }
 
--- a/src/edge/online_exchange.cpp
+++ b/src/edge/online_exchange.cpp
@@ -82,11 +82,35 @@
     start_admission();
 }
 
+core::service_id online_exchange::choose_service() const
+{
+    const serving::route* route = admitted_.route;
+    if (context_.routes != admitted_.table) {
+        const serving::route* current =
+            context_.routes->find_route(admitted_.request.host, admitted_.request.path);
+        const bool is_online = current != nullptr && current->kind != serving::request_kind::batch;
+        // A request whose route has been removed was accepted with it, and is served by it.
+        route = is_online ? current : route;
+    }
+    return serving::sends_to(*route, service_) ? service_
+                                               : serving::choose_service(*route, fingerprint_);
+}
+
+void online_exchange::on_state_changed()
+{
+    if (stage_ == response_stage::ended || !awaiting_admission_ || choose_service() == service_) {
+        return;
+    }
+    release_admission(serving::slot_outcome::cancelled);
+    start_admission();
+}
+
 void online_exchange::start_admission()
 {
     const serving::route& route = *admitted_.route;
+    service_ = choose_service();
     serving::admission_request new_admission;
-    new_admission.slot.service = serving::choose_service(route, fingerprint_);
+    new_admission.slot.service = service_;
     new_admission.slot.kind = serving::work_kind::online;
     new_admission.slot.data_centre = context_.data_centre;
     new_admission.slot.prefixes = admitted_.request.prefixes;
--- a/src/edge/online_exchange.hpp
+++ b/src/edge/online_exchange.hpp
@@ -56,11 +56,18 @@
     /// Requests the first slot. Precondition: not called before.
     void start();
 
+    /// Another desired state is in force: if the request waits for a slot of a service to which its
+    /// route no longer goes, requests one of the route's service now.
+    void on_state_changed();
+
 private:
     /// Progress of the response to the caller.
     enum class response_stage { none, streaming, ended };
 
     void start_admission();
+    /// Service for the next attempt, by the desired state in force. It stays the same as long as
+    /// the route goes there.
+    core::service_id choose_service() const;
     void on_admission(const admission_decision& decision);
     void send_to_target();
     http::flow on_head(const http::response_head& head);
@@ -107,6 +114,8 @@
     /// Number of the slot request that was rejected, as in the log of the leader.
     std::uint64_t rejected_admission_ = 0;
     bool awaiting_admission_ = false;
+    /// Service of the last slot request.
+    core::service_id service_;
     /// The request has been counted against its team's limit.
     bool charged_ = false;
     std::vector<core::target_id> excluded_targets_;
--- a/src/serving/desired_state.cpp
+++ b/src/serving/desired_state.cpp
@@ -74,4 +74,17 @@
     return requested_route.services.back().service;
 }
 
+bool sends_to(const route& requested_route, const core::service_id& service)
+{
+    const auto& services = requested_route.services;
+    const bool weighted = std::any_of(services.begin(), services.end(),
+                                      [](const weighted_service& each) { return each.weight > 0; });
+    if (!weighted) {
+        return !services.empty() && services.front().service == service;
+    }
+    return std::any_of(services.begin(), services.end(), [&](const weighted_service& each) {
+        return each.weight > 0 && each.service == service;
+    });
+}
+
 } // namespace gooseberryfall::serving
--- a/src/serving/desired_state.hpp
+++ b/src/serving/desired_state.hpp
@@ -152,4 +152,7 @@
 /// request: the same value gives the same service. Empty if the route has no service. Thread-safe.
 core::service_id choose_service(const route& requested_route, std::uint64_t request_hash);
 
+/// Whether the route sends requests to the service. Thread-safe.
+bool sends_to(const route& requested_route, const core::service_id& service);
+
 } // namespace gooseberryfall::serving
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <stdexcept>
 #include <thread>
@@ -116,7 +117,8 @@
     nodes.clear();
 }
 
-void edge_deployment::put_state(std::uint64_t version, const std::vector<std::string>& keys)
+void edge_deployment::put_state(std::uint64_t version, const std::vector<std::string>& keys,
+                                const route_changes& changes)
 {
     json::object fixed = route("fixed", "/fixed/", "streaming");
     json::object resumable = route("resumable", "/resumable/", "streaming");
@@ -133,6 +135,17 @@
         routes.push_back(batch_route("idle", "/idle/", "idle", options_.item_lifetime));
         services.push_back(json::object{{"name", "idle"}});
     }
+    for (const auto& [name, change] : changes) {
+        const auto changed = std::find_if(routes.begin(), routes.end(), [&](const auto& each) {
+            return each.at("name").as_string() == name;
+        });
+        if (change.removed) {
+            routes.erase(changed);
+            continue;
+        }
+        changed->as_object()["service"] = change.service;
+        services.push_back(json::object{{"name", change.service}});
+    }
     const json::object team{{"name", "studio"},
                             {"api_keys", json::array(keys.begin(), keys.end())},
                             {"rate_per_s", options_.rate},
@@ -149,6 +162,18 @@
     store.put(names::state_topic, names::state_key, json::serialize(state));
 }
 
+void edge_deployment::list_engine(std::size_t engine, const std::string& service)
+{
+    json::object entry = json::parse(engines.at(engine)->target_entry()).as_object();
+    entry["service"] = service;
+    store.put(names::target_topic, engines[engine]->id(), json::serialize(entry));
+}
+
+void edge_deployment::remove_engine(std::size_t engine)
+{
+    store.put(names::target_topic, engines.at(engine)->id(), {});
+}
+
 void edge_deployment::evacuate(const std::string& data_centre, bool evacuated)
 {
     store.put(names::state_topic, std::string(names::evacuation_key_prefix) + data_centre,
@@ -189,6 +214,7 @@
     settings.jobs.partition.results_retention_margin = milliseconds(0);
     settings.dynamic.intake_grace = milliseconds(500);
     settings.dynamic.leave_timeout = options_.leave_timeout;
+    settings.dynamic.state_poll_interval = options_.state_poll_interval;
     settings.dynamic.fleet.cold = {1.5, 5};
     const std::string store_address = store.address(store_listeners_.at(instance));
     gooseberryfall::kernel::logger_settings log;
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -42,6 +43,8 @@
         double cold_rate = 0;
         /// Data centres of the engines; those beyond the list are in `a`, as the instances are.
         std::vector<std::string> engine_data_centres{};
+        /// Interval at which instances read the desired state.
+        std::chrono::milliseconds state_poll_interval{650};
         /// Capacities of the instances; those beyond the list have 1.
         std::vector<double> capacities{};
     };
@@ -64,8 +67,24 @@
     /// takes too long.
     bool wait_for_targets(int count) const;
 
-    /// Writes a desired state with these API keys to the store.
-    void put_state(std::uint64_t version, const std::vector<std::string>& keys);
+    /// How a route differs from that of the first desired state.
+    struct route_change {
+        /// Service to which it goes.
+        std::string service{};
+        bool removed = false;
+    };
+    /// By the name of the route.
+    using route_changes = std::map<std::string, route_change>;
+
+    /// Writes a desired state with these API keys to the store. `changes`: how its routes differ
+    /// from those of the first one.
+    void put_state(std::uint64_t version, const std::vector<std::string>& keys,
+                   const route_changes& changes = {});
+
+    /// Writes the entry of an engine to the store, as an engine of this service.
+    void list_engine(std::size_t engine, const std::string& service);
+    /// Removes the entry of an engine from the store.
+    void remove_engine(std::size_t engine);
 
     /// Evacuates a data centre, as the operator does, or takes it back.
     void evacuate(const std::string& data_centre, bool evacuated = true);
