edge: a call about a job is decided by the job and its team, not by its route

Cause: caller_gateway::look_up wanted a batch route on the host for each call about a job. Evidence: request_refused with unknown_route at the instance that was called, no job_deleted. Ruled out: that the owner drops the job. Change: a call about a job needs a valid key of its team; an unknown job is answered by the owner of its partition. Also of this class: items whose route, by name, takes no jobs any more were neither run nor given up; they are given up like those of a removed route.

--- a/src/edge/caller_gateway.cpp
+++ b/src/edge/caller_gateway.cpp
@@ -102,9 +102,8 @@
     lookup_result result;
     result.about_job = context_.translator.is_job_call(request);
     result.route = table.find_route(request.host, request.path);
-    const bool route_exists =
-        result.about_job ? table.has_batch_route(request.host) : result.route != nullptr;
-    if (!route_exists) {
+    // A call about a job needs no route: the job may outlast the one on which it was submitted.
+    if (!result.about_job && result.route == nullptr) {
         result.refusal = rejection_reason::unknown_route;
         return result;
     }
--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -283,7 +283,7 @@
 {
     std::uint64_t pending_tokens_max = 0;
     if (context_.routes != nullptr) {
-        const serving::route* route = context_.routes->find_route_by_name(call.job.route);
+        const serving::route* route = context_.routes->find_batch_route(call.job.route);
         pending_tokens_max = route == nullptr ? 0 : route->batch.pending_tokens_max;
     }
     if (ledger_.has(call.job.id) && ledger_.team_of(call.job.id) != team) {
@@ -489,7 +489,7 @@
 bool job_partition::start_item(const serving::runnable_item& item, core::time_point now)
 {
     const std::string& job = item.key.job;
-    const serving::route* route = context_.routes->find_route_by_name(ledger_.route_of(job));
+    const serving::route* route = context_.routes->find_batch_route(ledger_.route_of(job));
     if (route == nullptr) {
         return false;
     }
@@ -540,8 +540,7 @@
         finish_item(key, serving::result_state::dead_letter, {});
         return;
     case item_run_outcome::target_failed: {
-        const serving::route* route =
-            context_.routes->find_route_by_name(ledger_.route_of(key.job));
+        const serving::route* route = context_.routes->find_batch_route(ledger_.route_of(key.job));
         const std::uint32_t failures =
             ledger_.record_failure(key, /*target_failed=*/true, steady_clock::now());
         if (route != nullptr && failures >= route->attempts_max) {
@@ -608,7 +607,7 @@
     const core::wall_time wall_clock_now = wall_now();
     for (const serving::item_key& key : ledger_.pending_item_keys()) {
         const std::string name = ledger_.route_of(key.job);
-        const serving::route* route = context_.routes->find_route_by_name(name);
+        const serving::route* route = context_.routes->find_batch_route(name);
         if (route == nullptr) {
             const core::time_point missing_since =
                 route_missing_since_.try_emplace(name, now).first->second;
@@ -668,8 +667,7 @@
     for (auto run = runs_.begin(); run != runs_.end();) {
         const auto current = run++;
         const auto [key, waiting] = *current;
-        const serving::route* route =
-            context_.routes->find_route_by_name(ledger_.route_of(key.job));
+        const serving::route* route = context_.routes->find_batch_route(ledger_.route_of(key.job));
         const bool unchanged = route != nullptr && route->host == waiting->host() &&
                                serving::sends_to(*route, waiting->service());
         if (unchanged || !waiting->is_waiting()) {
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -29,8 +29,8 @@
     std::chrono::milliseconds progress_interval{1500};
     /// Bytes of new output of an item from which its progress is written.
     std::size_t progress_min_bytes = 1200;
-    /// A route that has been missing from the desired state for this long is taken as removed, and
-    /// the items of its jobs are abandoned.
+    /// A batch route that has been missing from the desired state for this long is taken as
+    /// removed, and the items of its jobs are abandoned.
     std::chrono::milliseconds route_missing_max{3000};
     /// Time after the acceptance of a job for which its results can be read; an unfinished job is
     /// kept for longer. 0 keeps jobs forever.
--- a/src/serving/desired_state.cpp
+++ b/src/serving/desired_state.cpp
@@ -40,12 +40,10 @@
     return found == state_.routes.end() ? nullptr : &*found;
 }
 
-bool route_table::has_batch_route(std::string_view host) const
+const route* route_table::find_batch_route(std::string_view name) const
 {
-    const auto routes = routes_by_host_.find(host);
-    return routes != routes_by_host_.end() &&
-           std::any_of(routes->second.begin(), routes->second.end(),
-                       [](const route* entry) { return entry->kind == request_kind::batch; });
+    const route* found = find_route_by_name(name);
+    return found != nullptr && found->kind == request_kind::batch ? found : nullptr;
 }
 
 const customer_team* route_table::find_team(const std::string& api_key) const
--- a/src/serving/desired_state.hpp
+++ b/src/serving/desired_state.hpp
@@ -133,8 +133,8 @@
     /// Route with the given name, or null.
     const route* find_route_by_name(std::string_view name) const;
 
-    /// Whether the host has a batch route.
-    bool has_batch_route(std::string_view host) const;
+    /// Batch route with the given name, or null.
+    const route* find_batch_route(std::string_view name) const;
 
     /// Team that owns an API key, or null.
     const customer_team* find_team(const std::string& api_key) const;
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -144,7 +144,12 @@
             continue;
         }
         changed->as_object()["service"] = change.service;
-        services.push_back(json::object{{"name", change.service}});
+        if (!change.kind.empty()) {
+            changed->as_object()["kind"] = change.kind;
+        }
+        if (change.service != "lm") {
+            services.push_back(json::object{{"name", change.service}});
+        }
     }
     const json::object team{{"name", "studio"},
                             {"api_keys", json::array(keys.begin(), keys.end())},
--- a/tests/edge/edge_deployment.hpp
+++ b/tests/edge/edge_deployment.hpp
@@ -70,8 +70,10 @@
     /// How a route differs from that of the first desired state.
     struct route_change {
         /// Service to which it goes.
-        std::string service{};
+        std::string service{"lm"};
         bool removed = false;
+        /// Other than before; empty: the same.
+        std::string kind{};
     };
     /// By the name of the route.
     using route_changes = std::map<std::string, route_change>;
--- a/tests/edge/moved_routes_test.cpp
+++ b/tests/edge/moved_routes_test.cpp
@@ -2,12 +2,15 @@
 
 #include "edge/edge_deployment.hpp"
 
+#include "platform/names.hpp"
+
 #include <criterion/criterion.h>
 
 #include <future>
 #include <string>
 #include <thread>
 
+namespace names = gooseberryfall::adapter::names;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -128,3 +131,42 @@
     cr_assert_eq(fleet.runs_at(old_engine, "stream"), 1U);
     cr_assert_eq(fleet.runs_at(new_engine, "stream"), 1U);
 }
+
+// Guards against results that nobody can read, and jobs that nobody can end, because their route
+// has been removed.
+Test(moved_routes, jobs_of_a_removed_route_stay_readable, .timeout = 60)
+{
+    edge_deployment deployment({.instances = 2});
+    deployment.wait_until_idle();
+    cr_assert_eq(deployment.submit(0, "done", 4), 202U);
+    const std::string complete = deployment.wait_for_results(0, "done", 4);
+    deployment.put_state(2, {"key-a", "key-b"}, {{"notes", {.removed = true}}});
+    for (const std::size_t instance : {0U, 1U}) {
+        cr_assert(wait_until([&] { return deployment.metric(instance, "state_version") == 2.0; }));
+        const auto page = deployment.results(instance, "done");
+        cr_assert_eq(page.head.status, 200U, "instance %zu: %u", instance, page.head.status);
+        cr_assert(page.body == complete);
+        cr_assert_eq(deployment.submit(instance, "new", 1), 404U, "the route is gone");
+        cr_assert_eq(deployment.results(instance, "unknown").head.status, 404U);
+        cr_assert_eq(deployment.cancel_job(instance, "done"), 200U);
+        const std::string target = std::string(names::job_path_prefix) + "done?after=0";
+        const auto with_key = [&](const std::string& key) {
+            return deployment.call(instance, "GET", target, {{"Authorization", "Bearer " + key}})
+                .head.status;
+        };
+        cr_assert_eq(with_key("key-b"), 200U, "another key of the team");
+        cr_assert_eq(with_key("other"), 401U);
+    }
+}
+
+// Guards against items that are neither run nor given up, because a route with the name of theirs
+// takes online requests now.
+Test(moved_routes, items_are_given_up_once_their_route_takes_no_jobs, .timeout = 60)
+{
+    two_services fleet;
+    cr_assert_eq(fleet.deployment.submit(0, "job", 16), 202U);
+    cr_assert(wait_until([&] { return fleet.runs_at(old_engine, "job-") > 0; }));
+    fleet.put_state({{"notes", {.kind = "streaming"}}});
+    cr_assert_eq(result_count(fleet.deployment.wait_for_results(0, "job", 16)), 16U);
+    cr_assert_leq(fleet.runs_at(old_engine, "job-"), 6U);
+}
