soak: owners are lost while one is suspended, the largest instance is lost, routes move and end

The supervisor started each process again within 0.15 s, all instances had one size, versions of the state differed in keys alone, and an accepted job that was answered 404, or showed fewer results than before, was no violation. Change: one instance at a time is suspended for 4 s, and all others are ended meanwhile and start again seconds after it is awake. In runs with an even seed one instance is four times as large as the others and is lost for good before the last checks. Versions move the batch route to a second service, and remove it. An instance in touch must know a job accepted 1 s before, and show what was read 1 s before.

--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -45,10 +45,20 @@
     requests_.push_back(observed);
 }
 
-void history::add_submission(const std::string& job, int item_count, unsigned status)
+void history::add_job_read(const observed_job_read& observed)
+{
+    const std::lock_guard lock(mutex_);
+    job_reads_.push_back(observed);
+}
+
+void history::add_submission(const std::string& job, int item_count, unsigned status,
+                             steady_clock::time_point at)
 {
     const std::lock_guard lock(mutex_);
     observed_job& observed = jobs_[job];
+    if (status == 202 && !observed.accepted) {
+        observed.accepted_at = at;
+    }
     observed.item_count = item_count;
     observed.accepted = observed.accepted || status == 202;
     observed.always_rejected = observed.always_rejected && guarantees_not_run(status);
@@ -101,23 +111,59 @@
 
 bool history::was_out_of_touch(const observed_run& run, steady_clock::time_point at) const
 {
-    const auto begin = at - out_of_touch_time;
+    return was_out_of_touch(run.instance, run.engine, at - out_of_touch_time, at);
+}
+
+bool history::was_out_of_touch(std::optional<std::size_t> instance, const std::string& engine,
+                               steady_clock::time_point begin, steady_clock::time_point end) const
+{
     // A process that ends before its connection is accepted leaves a run whose sender isn't known.
     const bool interrupted =
         std::any_of(interruptions_.begin(), interruptions_.end(), [&](const auto& entry) {
-            return (!run.instance || run.instance == entry.first) &&
-                   was_interrupted(entry.first, begin, at);
+            return (!instance || instance == entry.first) &&
+                   was_interrupted(entry.first, begin, end);
         });
     if (interrupted) {
         return true;
     }
     return std::any_of(disturbances_.begin(), disturbances_.end(), [&](const disturbance& each) {
-        const bool affects_sender = !each.part.instance || each.part.instance == run.instance;
-        const bool affects_engine = each.part.engine.empty() || each.part.engine == run.engine;
-        return affects_sender && affects_engine && each.begin <= at && each.end >= begin;
+        const bool affects_sender = !each.part.instance || each.part.instance == instance;
+        const bool affects_engine = each.part.engine.empty() || each.part.engine == engine;
+        return affects_sender && affects_engine && each.begin <= end && each.end >= begin;
     });
 }
 
+std::vector<std::string> history::check_job_reads() const
+{
+    std::vector<std::string> violations;
+    for (const observed_job_read& read : job_reads_) {
+        const auto found = jobs_.find(read.job);
+        const bool must_be_known = found != jobs_.end() && found->second.accepted &&
+                                   read.sent_at > found->second.accepted_at + job_settle_time;
+        if (!must_be_known || was_out_of_touch(read.instance, {}, read.sent_at - out_of_touch_time,
+                                               read.answered_at)) {
+            continue;
+        }
+        const std::string at_instance = " at instance " + std::to_string(read.instance);
+        if (read.status == 404 || read.status == 410) {
+            violations.push_back("accepted job " + read.job + " is unknown" + at_instance);
+        }
+        std::size_t shown = 0;
+        for (const observed_job_read& earlier : job_reads_) {
+            if (earlier.job == read.job && earlier.status == 200 &&
+                earlier.answered_at + job_settle_time < read.sent_at) {
+                shown = std::max(shown, earlier.result_count);
+            }
+        }
+        if (read.status == 200 && read.result_count < shown) {
+            violations.push_back("job " + read.job + " has " + std::to_string(read.result_count) +
+                                 " results" + at_instance + " after " + std::to_string(shown) +
+                                 " were read");
+        }
+    }
+    return violations;
+}
+
 std::vector<std::string> history::check_overlaps(const std::vector<observed_run>& runs) const
 {
     std::map<std::string, std::vector<const observed_run*>> runs_of;
@@ -247,6 +293,9 @@
     for (std::string& violation : check_overlaps(runs)) {
         violations.push_back(std::move(violation));
     }
+    for (std::string& violation : check_job_reads()) {
+        violations.push_back(std::move(violation));
+    }
     std::map<std::string, int> run_counts;
     std::set<std::string> jobs_run;
     for (const observed_run& run : runs) {
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -73,6 +73,20 @@
     std::string engine{};
 };
 
+/// Time after which every instance knows an accepted job, and a result that was read.
+constexpr std::chrono::milliseconds job_settle_time{1000};
+
+/// A read of a job's results from the first position on.
+struct observed_job_read {
+    std::string job;
+    std::size_t instance = 0;
+    /// HTTP status; 0 if no response arrived.
+    unsigned status = 0;
+    std::size_t result_count = 0;
+    std::chrono::steady_clock::time_point sent_at{};
+    std::chrono::steady_clock::time_point answered_at{};
+};
+
 /// Requests with a part that crashes engines that may reach engines after `crashes_to_recognise`
 /// crashes and `settle_time`.
 constexpr std::size_t late_crashes_max = 3;
@@ -89,8 +103,13 @@
     /// Records the result of a request.
     void add_request(const observed_request& observed);
 
-    /// Records the submission of a job and the HTTP status of the response; 0 if none arrived.
-    void add_submission(const std::string& job, int item_count, unsigned status);
+    /// Records the submission of a job and the HTTP status of the response, which arrived `at`; 0
+    /// if none arrived.
+    void add_submission(const std::string& job, int item_count, unsigned status,
+                        std::chrono::steady_clock::time_point at = {});
+
+    /// Records a read of a job.
+    void add_job_read(const observed_job_read& observed);
 
     /// Records a page of a job's results, of which the first stands at position `first_position`.
     void add_results(const std::string& job, std::size_t first_position,
@@ -133,6 +152,8 @@
     struct observed_job {
         int item_count = 0;
         bool accepted = false;
+        /// When the first response came that accepts it.
+        std::chrono::steady_clock::time_point accepted_at{};
         /// Whether every response guarantees that no item of the job runs.
         bool always_rejected = true;
         /// Item ids by position.
@@ -147,8 +168,16 @@
     /// Runs that went on at an engine while the engine before still worked on them. Precondition:
     /// `mutex_` is held.
     std::vector<std::string> check_overlaps(const std::vector<observed_run>& runs) const;
+    /// Reads of accepted jobs for which an instance that must know them has no job, or fewer
+    /// results than were read before. Precondition: `mutex_` is held.
+    std::vector<std::string> check_job_reads() const;
     /// Whether the sender of a run need not have ended it by `at`. Precondition: `mutex_` is held.
     bool was_out_of_touch(const observed_run& run, std::chrono::steady_clock::time_point at) const;
+    /// The same for an instance, or any if it isn't known, and an engine, whose faults count;
+    /// empty: those of no engine do. Precondition: `mutex_` is held.
+    bool was_out_of_touch(std::optional<std::size_t> instance, const std::string& engine,
+                          std::chrono::steady_clock::time_point begin,
+                          std::chrono::steady_clock::time_point end) const;
     bool was_interrupted(std::size_t instance, std::chrono::steady_clock::time_point begin,
                          std::chrono::steady_clock::time_point end) const;
 
@@ -163,6 +192,7 @@
     std::vector<disturbance> disturbances_;
     std::vector<observed_request> requests_;
     std::map<std::string, observed_job> jobs_;
+    std::vector<observed_job_read> job_reads_;
     std::vector<std::string> violations_;
 };
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -81,6 +82,16 @@
     return "deadly-" + std::to_string(number);
 }
 
+/// Service of a further engine, to which the batch route goes in some versions of the state.
+constexpr const char* second_service = "lm-next";
+/// In one of so many versions the batch route goes to that service, and in one there is none.
+constexpr std::uint64_t route_cycle = 6;
+constexpr std::uint64_t moved_route_version = 2;
+constexpr std::uint64_t removed_route_version = 5;
+
+/// Capacity of an instance beside one that owns all jobs.
+constexpr double small_capacity = 0.25;
+
 /// Interval at which daemons that have exited are restarted.
 constexpr milliseconds supervision_interval{150};
 
@@ -88,13 +99,14 @@
 /// all partitions, the pauses of targets after failures, and the longest stream.
 constexpr seconds recovery_timeout{25};
 
-json::object make_route(const std::string& name, const std::string& kind)
+json::object make_route(const std::string& name, const std::string& kind,
+                        const std::string& service = "lm")
 {
     return {{"name", name},
             {"host", host},
             {"path_prefix", "/" + name + "/"},
             {"kind", kind},
-            {"service", "lm"},
+            {"service", service},
             {"timeout_ms", 5000},
             {"goal_ms", 300},
             {"attempts", 3},
@@ -128,6 +140,13 @@
         store_.put(names::target_topic, engine.id,
                    engines_.back()->target_entry(false, links_.address(engine_links_.back())));
     }
+    const auto& further = engines_.emplace_back(std::make_unique<stand_ins::model_engine>(
+        stand_ins::engine_options{.id = "engine-next",
+                                  .events = events_per_stream,
+                                  .event_interval = usual_event_interval}));
+    json::object entry = json::parse(further->target_entry()).as_object();
+    entry["service"] = second_service;
+    store_.put(names::target_topic, further->id(), json::serialize(entry));
     publish_state(1);
     for (std::size_t index = 0; index < options_.instances; ++index) {
         store_listeners_.push_back(store_.open_listener());
@@ -234,11 +253,15 @@
     const json::array keys{"key-" + std::to_string(version), "key-" + std::to_string(version - 1)};
     const json::object customer{
         {"name", team}, {"api_keys", keys}, {"rate_per_s", 0}, {"burst", 0}};
+    json::array routes{make_route("fixed", "streaming"), make_route("resumable", "streaming")};
+    if (version % route_cycle != removed_route_version) {
+        const bool moved = version % route_cycle == moved_route_version;
+        routes.push_back(make_route("notes", "batch", moved ? second_service : "lm"));
+    }
     const json::object state{{"version", version},
-                             {"routes",
-                              {make_route("fixed", "streaming"),
-                               make_route("resumable", "streaming"), make_route("notes", "batch")}},
-                             {"services", json::array{json::object{{"name", "lm"}}}},
+                             {"routes", std::move(routes)},
+                             {"services", json::array{json::object{{"name", "lm"}},
+                                                      json::object{{"name", second_service}}}},
                              {"tenants", json::array{customer}}};
     store_.put(names::state_topic, names::state_key, json::serialize(state));
     state_version_ = version;
@@ -247,9 +270,9 @@
 std::string soak_run::settings_text(std::size_t instance, std::uint64_t variant) const
 {
     std::ostringstream toml;
-    toml << "[instance]\nname = \"soak-" << instance
-         << "\"\ndata_centre = \"a\"\ncapacity = 1.0\n[listen]\ncallers = \""
-         << address(instance, callers_port) << "\"\nreadiness = \""
+    toml << "[instance]\nname = \"soak-" << instance << "\"\ndata_centre = \"a\"\ncapacity = "
+         << (has_large_instance() && instance != 0 ? small_capacity : 1.0)
+         << "\n[listen]\ncallers = \"" << address(instance, callers_port) << "\"\nreadiness = \""
          << address(instance, readiness_port) << "\"\ndirectory = \""
          << address(instance, directory_port) << "\"\ninstances = \""
          << address(instance, internal_port) << "\"\n[store]\naddress = \""
@@ -396,7 +419,7 @@
         {
             const std::lock_guard lock(daemons_mutex_);
             for (std::size_t index = 0; index < options_.instances; ++index) {
-                if (!daemons_[index]->is_running()) {
+                if (!held_down_.contains(index) && !daemons_[index]->is_running()) {
                     history_.add_interruption(index, steady_clock::now());
                     start(index);
                 }
@@ -415,6 +438,62 @@
     }
 }
 
+void soak_run::hold_down(std::size_t instance, bool down)
+{
+    const std::lock_guard lock(daemons_mutex_);
+    history_.add_interruption(instance, steady_clock::now());
+    if (down) {
+        held_down_.insert(instance);
+        daemons_[instance]->kill();
+    }
+    else {
+        held_down_.erase(instance);
+    }
+}
+
+void soak_run::inject_owner_losses()
+{
+    // A separate generator keeps the other faults of a seed unchanged.
+    std::mt19937_64 random(options_.seed * 1000 + 992);
+    milliseconds earliest(2000);
+    while (!faults_over_) {
+        std::this_thread::sleep_for(earliest + milliseconds(draw(random, 6000)));
+        if (faults_over_) {
+            return;
+        }
+        // Most faults need several instances.
+        earliest = milliseconds(10000);
+        const std::size_t sleeper = draw(random, options_.instances);
+        log_event("all but instance " + std::to_string(sleeper) +
+                  " are lost while it is suspended");
+        // Longer than a membership, so that the others own all partitions for a while.
+        const auto losses = std::async(std::launch::async, [&, delay = 1800 + draw(random, 1000)] {
+            std::this_thread::sleep_for(milliseconds(delay));
+            for (std::size_t index = 0; index < options_.instances; ++index) {
+                if (index != sleeper) {
+                    hold_down(index, true);
+                }
+            }
+        });
+        pause(sleeper, milliseconds(4000));
+        losses.wait();
+        std::this_thread::sleep_for(settle_time + milliseconds(1500));
+        for (std::size_t index = 0; index < options_.instances; ++index) {
+            if (index != sleeper) {
+                hold_down(index, false);
+            }
+        }
+    }
+}
+
+void soak_run::lose_largest_instance()
+{
+    if (has_large_instance()) {
+        log_event("instance 0 is lost for good");
+        hold_down(0, true);
+    }
+}
+
 void soak_run::log_event(const std::string& text)
 {
     const std::lock_guard lock(log_mutex_);
@@ -462,8 +541,10 @@
     for (int sequence = 0; !stopping_; ++sequence) {
         const std::string id = "r" + std::to_string(caller) + "-" + std::to_string(sequence);
         const bool crashes = sequence % crashing_part_period == crashing_part_period / 2;
-        send_request(draw(random, options_.instances), id, sequence % 3 == 0,
-                     crashes ? crashing_part_.load() : 0);
+        const std::size_t instance = draw(random, options_.instances);
+        if (!is_lost(instance)) {
+            send_request(instance, id, sequence % 3 == 0, crashes ? crashing_part_.load() : 0);
+        }
         std::this_thread::sleep_for(milliseconds(20 + draw(random, 60)));
     }
 }
@@ -482,16 +563,20 @@
         caller_address(instance), "POST", "/notes/" + job,
         {{"Host", host}, {names::request_id, job}, {"Authorization", "Bearer " + current_key()}},
         json::serialize(json::object{{"items", std::move(item_list)}}), seconds(6));
-    history_.add_submission(job, items, response.head.status);
+    history_.add_submission(job, items, response.head.status, steady_clock::now());
     return response.head.status == 202;
 }
 
 bool soak_run::read_results(std::size_t instance, const std::string& job, int items)
 {
+    observed_job_read observed{.job = job, .instance = instance, .sent_at = steady_clock::now()};
     const auto response =
         http::call(caller_address(instance), "GET", names::job_path_prefix + job,
                    {{"Host", host}, {"Authorization", "Bearer " + current_key()}}, {}, seconds(5));
+    observed.answered_at = steady_clock::now();
+    observed.status = response.head.status;
     if (response.head.status != 200 || response.outcome != http::call_outcome::completed) {
+        history_.add_job_read(observed);
         return false;
     }
     const json::value page = json::parse(response.body);
@@ -504,6 +589,8 @@
         result.is_truncated = entry.at("state") == "complete" && result.output != whole;
         results.push_back(std::move(result));
     }
+    observed.result_count = results.size();
+    history_.add_job_read(observed);
     history_.add_results(job, 0, results);
     return results.size() == static_cast<std::size_t>(items);
 }
@@ -659,9 +746,13 @@
         }
         return condition();
     };
+    // Jobs are read with and without their route.
     publish_state(state_version_ + 2);
     const std::string withdrawn_key = "key-" + std::to_string(state_version_ - 2);
     for (std::size_t index = 0; index < options_.instances; ++index) {
+        if (is_lost(index)) {
+            continue;
+        }
         const auto status = [&](const std::string& key) {
             return http::call(caller_address(index), "POST", "/resumable/x",
                               {{"Host", host}, {"Authorization", "Bearer " + key}}, "p", seconds(6))
@@ -680,7 +771,8 @@
     std::size_t read_count = 0;
     for (const auto& [job, items] : history_.accepted_job_sizes()) {
         wait_until([&, id = job, count = items] {
-            return read_results(++read_count % options_.instances, id, count);
+            const std::size_t instance = ++read_count % options_.instances;
+            return !is_lost(instance) && read_results(instance, id, count);
         });
     }
     return violations;
@@ -698,6 +790,7 @@
         threads.emplace_back([this] { inject_link_faults(); });
     }
     threads.emplace_back([this] { inject_settings_changes(); });
+    std::thread losses_thread([this] { inject_owner_losses(); });
     std::thread leaving_thread([this] { inject_leaving_engines(); });
     std::thread crashing_thread([this] { inject_crashing_parts(); });
     std::thread job_thread([this] { submit_jobs(); });
@@ -706,8 +799,10 @@
     log_event("faults ended");
     // The last job may be accepted after the last fault, so wait for it before the check.
     job_thread.join();
+    losses_thread.join();
     leaving_thread.join();
     crashing_thread.join();
+    lose_largest_instance();
     std::vector<std::string> violations = check_recovery();
     for (std::string& violation : check_crashing_part()) {
         violations.push_back(std::move(violation));
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,20 @@
     /// Lets one engine at a time say that it leaves, before the store's list says so, and replaces
     /// it, until the faults end.
     void inject_leaving_engines();
+    /// Suspends one instance at a time and ends all others while it sleeps, until the faults end.
+    /// They start again only when it is awake.
+    void inject_owner_losses();
+    /// Ends the instance for good, if the run has one that is larger than the others.
+    void lose_largest_instance();
+    /// Whether an instance is kept down for good.
+    bool is_lost(std::size_t instance) const
+    {
+        return has_large_instance() && faults_over_ && instance == 0;
+    }
+    /// Whether instance 0 has a larger capacity than the others, so that it owns all jobs.
+    bool has_large_instance() const { return options_.seed % 2 == 0; }
+    /// Ends a daemon, or lets `supervise` start it again.
+    void hold_down(std::size_t instance, bool down);
     /// Lets requests with a part come that crashes engines, now and then until the faults end.
     void inject_crashing_parts();
     /// Lets such requests come while nothing else is wrong. Returns a sentence for each violation.
@@ -127,6 +142,8 @@
     // Before the links, whose thread looks up senders until it ends.
     std::vector<std::unique_ptr<daemon_process>> daemons_;
     std::mutex daemons_mutex_;
+    /// Daemons that are not started again for now.
+    std::set<std::size_t> held_down_;
     faulty_links links_;
     /// Links from the callers to each instance, from each instance to the store, and from the
     /// instances to each engine.
--- a/tests/edge/edge_deployment.cpp
+++ b/tests/edge/edge_deployment.cpp
@@ -135,9 +135,10 @@
         routes.push_back(batch_route("idle", "/idle/", "idle", options_.item_lifetime));
         services.push_back(json::object{{"name", "idle"}});
     }
-    for (const auto& [name, change] : changes) {
+    for (const auto& entry : changes) {
+        const route_change& change = entry.second;
         const auto changed = std::find_if(routes.begin(), routes.end(), [&](const auto& each) {
-            return each.at("name").as_string() == name;
+            return each.at("name").as_string() == entry.first;
         });
         if (change.removed) {
             routes.erase(changed);
--- a/tests/edge/moved_routes_test.cpp
+++ b/tests/edge/moved_routes_test.cpp
@@ -90,13 +90,13 @@
 Test(moved_routes, waiting_requests_follow_their_route, .timeout = 60)
 {
     two_services fleet;
-    std::vector<std::future<unsigned>> running;
-    for (int number = 0; number < 2; ++number) {
-        running.push_back(std::async(std::launch::async, [&fleet, number] {
-            return fleet.deployment.stream(0, "running-" + std::to_string(number), false)
-                .head.status;
-        }));
-    }
+    const auto start_stream = [&fleet](const std::string& id) {
+        return std::async(std::launch::async, [&fleet, id] {
+            return fleet.deployment.stream(0, id, false).head.status;
+        });
+    };
+    auto first = start_stream("running-0");
+    auto second = start_stream("running-1");
     cr_assert(wait_until([&] { return fleet.runs_at(old_engine, "running-") == 2; }));
     // The engine's slots are taken for 0.8 s. The request arrives before the instance reads the
     // state, and waits for as long as a caller's last attempt may.
@@ -113,9 +113,8 @@
     cr_assert_eq(status, 200U, "%u", status);
     cr_assert_eq(fleet.runs_at(new_engine, "waiting"), 1U);
     cr_assert_eq(fleet.runs_at(old_engine, "waiting"), 0U);
-    for (auto& request : running) {
-        cr_assert_eq(request.get(), 200U, "a request that runs ends where it is");
-    }
+    cr_assert_eq(first.get(), 200U, "a request that runs ends where it is");
+    cr_assert_eq(second.get(), 200U);
 }
 
 // Guards against a stream that is resumed at the service from which its route has moved.
--- a/tests/soak/history_test.cpp
+++ b/tests/soak/history_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -258,3 +259,32 @@
     soak::history undisturbed("t");
     cr_assert_eq(overlap_violations(undisturbed, 2 * soak::overlap_max, "f", std::nullopt), 1U);
 }
+
+Test(history, reports_an_accepted_job_that_is_unknown)
+{
+    soak::history observed("t");
+    observed.add_submission("j", 1, 202, start);
+    observed.add_results("j", 0, {{"j-0", "x"}});
+    const auto read_at = [&](std::chrono::milliseconds time) {
+        observed.add_job_read({"j", 1, 404, 0, start + time, start + time});
+        return check(observed, {{"j-0", "t", false}}).size();
+    };
+    cr_assert_eq(read_at(std::chrono::milliseconds(900)), 0U, "the others may not know it yet");
+    observed.add_interruption(1, start + std::chrono::seconds(2));
+    cr_assert_eq(read_at(std::chrono::milliseconds(4900)), 0U, "the instance is out of touch");
+    cr_assert_eq(read_at(std::chrono::milliseconds(5100)), 1U);
+}
+
+Test(history, reports_results_that_are_gone)
+{
+    soak::history observed("t");
+    observed.add_submission("j", 1, 202, start);
+    observed.add_results("j", 0, {{"j-0", "x"}});
+    const auto read_at = [&](std::chrono::milliseconds time, std::size_t results) {
+        observed.add_job_read({"j", 1, 200, results, start + time, start + time});
+        return check(observed, {{"j-0", "t", false}}).size();
+    };
+    cr_assert_eq(read_at(std::chrono::milliseconds(5000), 1), 0U);
+    cr_assert_eq(read_at(std::chrono::milliseconds(5900), 0), 0U, "not known everywhere yet");
+    cr_assert_eq(read_at(std::chrono::milliseconds(6100), 0), 1U);
+}
