edge: the response to a raised epoch tells whether others have written to the log

Cause: found by reading the change again, not shown by a run. Between the raised epoch of a doubted partition and the read of its log's end, writes that had waited were appended from the stale ledger, no longer fenced, and their responses moved the known end past the records of the other owner. Change: job_writer compares the end in the response to the epoch change with its own. If it differs, nothing that waits is written and the partition is loaded anew. The read of the log's end, and its retries, are gone.

--- a/src/edge/job_partition.cpp
+++ b/src/edge/job_partition.cpp
@@ -25,9 +25,6 @@
 constexpr std::uint32_t min_remaining_tokens_divisor = 12;
 /// Delay before a failed step of taking over the log is retried.
 constexpr milliseconds takeover_retry_interval{150};
-/// Time limit of the read that shows whether another owner has written to the log. It returns a few
-/// bytes.
-constexpr milliseconds log_end_read_timeout{300};
 /// Interval of the checks for items to abandon and jobs to delete. Their lifetimes are seconds
 /// long, so that a coarse check is enough.
 constexpr milliseconds expiry_check_interval{250};
@@ -134,8 +131,7 @@
     ledger_.finish_loading();
     writer_ = std::make_unique<job_writer>(
         store_, context_.loop, log_partition_, log_writer{writer_name, epoch_, first_sequence_},
-        settings_.limits, std::move(loaded_keys_), loaded_end_offset_,
-        [this] { mark_lost("fenced by a newer owner"); });
+        settings_.limits, std::move(loaded_keys_), loaded_end_offset_, [this] { on_fenced(); });
     context_.logger.write(kernel::log_level::info, "partition_owned",
                           {{"topic", log_partition_.topic},
                            {"partition", std::to_string(log_partition_.partition)},
@@ -158,48 +154,22 @@
 
 void job_partition::start_verification()
 {
-    writer_->raise_epoch(*unverified_epoch_,
-                         [this, alive = alive_, epoch = *unverified_epoch_](write_outcome outcome) {
-                             if (*alive && outcome == write_outcome::written) {
-                                 check_log_end(epoch);
-                             }
-                         });
-}
-
-void job_partition::check_log_end(std::uint64_t epoch)
-{
-    if (lost_ || unverified_epoch_ != epoch) {
-        return;
-    }
-    store_.read(log_partition_, writer_->end_offset(), log_end_read_timeout,
-                [this, alive = alive_, epoch](const store_result<log_page>& result) {
-                    if (*alive) {
-                        on_log_end(result, epoch);
-                    }
-                });
+    writer_->raise_epoch(*unverified_epoch_, [this, alive = alive_,
+                                              epoch = *unverified_epoch_](write_outcome outcome) {
+        if (*alive && outcome == write_outcome::written && unverified_epoch_ == epoch) {
+            unverified_epoch_.reset();
+        }
+    });
 }
 
-void job_partition::on_log_end(const store_result<log_page>& result, std::uint64_t epoch)
+void job_partition::on_fenced()
 {
-    const bool expired = !result && result.error().failure == store_failure::expired;
-    const bool longer = result && result->end_offset > writer_->end_offset();
-    // The additional records may be those of an append that is in progress.
-    if ((expired || longer) && writer_->pending() == 0) {
+    if (writer_->found_other_records()) {
         reload_sequence_ = writer_->sequence();
         mark_lost("another owner has written to the log");
         return;
     }
-    if (result && !longer) {
-        if (unverified_epoch_ == epoch) {
-            unverified_epoch_.reset();
-        }
-        return;
-    }
-    context_.loop.post_after(takeover_retry_interval, [this, alive = alive_, epoch] {
-        if (*alive) {
-            check_log_end(epoch);
-        }
-    });
+    mark_lost("fenced by a newer owner");
 }
 
 void job_partition::mark_lost(const std::string& reason)
--- a/src/edge/job_partition.hpp
+++ b/src/edge/job_partition.hpp
@@ -124,9 +124,7 @@
     void load(const std::optional<std::string>& after);
     void on_loaded();
     void start_verification();
-    /// `epoch`: as in `verify_ownership`.
-    void check_log_end(std::uint64_t epoch);
-    void on_log_end(const store_result<log_page>& result, std::uint64_t epoch);
+    void on_fenced();
     /// Whether no other instance can have written to the log.
     bool is_verified() const { return !unverified_epoch_; }
     void mark_lost(const std::string& reason);
--- a/src/edge/job_writer.cpp
+++ b/src/edge/job_writer.cpp
@@ -132,12 +132,34 @@
                   });
 }
 
+void job_writer::fail_all()
+{
+    fenced_ = true;
+    // This append has certainly not been applied: if an earlier attempt was applied and only
+    // its response was lost, the store repeats that response instead of failing the retry.
+    std::vector<queued_write> lost = std::exchange(in_flight_, {});
+    for (queued_write& waiting : queue_) {
+        lost.push_back(std::move(waiting));
+    }
+    queue_.clear();
+    for (queued_write& unwritten : lost) {
+        if (unwritten.done) {
+            unwritten.done(write_outcome::fenced);
+        }
+    }
+    on_fenced_();
+}
+
 void job_writer::on_append_result(const store_result<std::uint64_t>& result)
 {
     if (result) {
-        if (!append_records_.empty()) {
-            end_offset_ = std::max(end_offset_, *result);
+        if (append_records_.empty() && *result != end_offset_) {
+            // Others are fenced now, but have written before. What waits comes from a stale ledger.
+            found_other_records_ = true;
+            fail_all();
+            return;
         }
+        end_offset_ = std::max(end_offset_, *result);
         append_records_.clear();
         appending_ = false;
         const auto alive = alive_;
@@ -153,20 +175,7 @@
     }
     const store_failure failure = result.error().failure;
     if (failure == store_failure::fenced || failure == store_failure::out_of_sequence) {
-        fenced_ = true;
-        // This append has certainly not been applied: if an earlier attempt was applied and only
-        // its response was lost, the store repeats that response instead of failing the retry.
-        std::vector<queued_write> lost = std::exchange(in_flight_, {});
-        for (queued_write& waiting : queue_) {
-            lost.push_back(std::move(waiting));
-        }
-        queue_.clear();
-        for (queued_write& unwritten : lost) {
-            if (unwritten.done) {
-                unwritten.done(write_outcome::fenced);
-            }
-        }
-        on_fenced_();
+        fail_all();
         return;
     }
     loop_.post_after(retry_interval, [this, alive = alive_] {
--- a/src/edge/job_writer.hpp
+++ b/src/edge/job_writer.hpp
@@ -60,16 +60,16 @@
     void delete_job(const std::string& job);
 
     /// Writes under a higher epoch from here on, so that the store rejects appends of all owners
-    /// with a lower one, and calls `done`.
+    /// with a lower one, and calls `done`. If another writer has written to the log before, nothing
+    /// that waits is written, as if this writer were fenced.
     void raise_epoch(std::uint64_t epoch, std::function<void(write_outcome)> done);
 
     /// Epoch and sequence number of the current append, or of the last one.
     std::uint64_t epoch() const { return writer_.epoch; }
     std::uint64_t sequence() const { return writer_.sequence; }
 
-    /// Offset after the last record that this writer is known to have written, or that was in the
-    /// log before. The log is longer if another writer has written.
-    std::uint64_t end_offset() const { return end_offset_; }
+    /// Whether a change of the epoch has shown records of another writer.
+    bool found_other_records() const { return found_other_records_; }
 
     /// Number of writes that aren't known to be complete.
     std::size_t pending() const { return queue_.size() + in_flight_.size(); }
@@ -83,6 +83,8 @@
     };
 
     void enqueue(queued_write write);
+    /// Ends the writer: no write that isn't complete will be written.
+    void fail_all();
     void start_next_append();
     void send_append();
     void on_append_result(const store_result<std::uint64_t>& result);
@@ -94,6 +96,7 @@
     store_limits limits_;
     std::function<void()> on_fenced_;
     fleet_wire::job_key_index keys_;
+    /// Offset after the last record that is known to be in the log.
     std::uint64_t end_offset_;
     std::deque<queued_write> queue_;
     /// Writes whose last part is in the current append.
@@ -102,6 +105,7 @@
     std::vector<keyed_record> append_records_;
     bool appending_ = false;
     bool fenced_ = false;
+    bool found_other_records_ = false;
     /// Set to false by the destructor; pending callbacks check it.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
